--- /dev/null
+++ b/cmd/mothferry-standin/main.go
@@ -0,0 +1,63 @@
+// Command mothferry-standin is the platform's stand-in, or a lone upstream
+// runner's, for tests and trials.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mfstandin"
+)
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:7400", "address to listen at")
+	runner := flag.Bool("runner", false, "be one runner instead of the platform")
+	centres := flag.String("data-centres", "dc1,dc2,dc3", "data centres of the fleet")
+	pools := flag.String("pools", "general", "pools of each data centre")
+	hosts := flag.Int("hosts", 17, "hosts of each pool in each data centre")
+	rack := flag.Int("rack", 4, "hosts of a rack")
+	cores := flag.Int("cores", 16, "cores of a host")
+	memory := flag.Int("memory", 32, "memory of a host, in GiB")
+	delay := flag.Duration("start-delay", 50*time.Millisecond, "how long a runner takes until it serves")
+	flag.Parse()
+	listener, err := net.Listen("tcp", *listen)
+	if err != nil {
+		fail(err)
+	}
+	if *runner {
+		r := &mfstandin.Runner{Task: "lone", Service: "lone", Slots: 8, Connections: 64, Journal: &mfstandin.Journal{}, Listener: listener}
+		r.Start()
+		select {}
+	}
+	server, err := mfstandin.New(mfclock.System{}, mfstandin.Fleet{
+		DataCentres:  names[mothferry.DataCentre](*centres),
+		Pools:        names[mothferry.PoolID](*pools),
+		HostsPerPool: *hosts, HostsPerRack: *rack,
+		Capacity: mothferry.Resources{Cores: mothferry.Millicores(*cores) * 1000, Memory: mothferry.Bytes(*memory) * mothferry.Gibibyte},
+	})
+	if err != nil {
+		fail(err)
+	}
+	server.Workers.StartDelay = *delay
+	fail(http.Serve(listener, server.Handler()))
+}
+
+func names[T ~string](list string) []T {
+	var out []T
+	for _, n := range strings.Split(list, ",") {
+		out = append(out, T(n))
+	}
+	return out
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "mothferry-standin:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/cmd/mothferry/main.go
@@ -0,0 +1,20 @@
+// Command mothferry is the fleet capacity and maintenance manager.
+package main
+
+import (
+	"context"
+	"os"
+
+	"mothferry/mfclock"
+	"mothferry/mfcommand"
+)
+
+// version is the program's version.
+const version = "0.1.0"
+
+func main() {
+	os.Exit(mfcommand.Main(context.Background(), &mfcommand.Environment{
+		Out: os.Stdout, Err: os.Stderr, Clock: mfclock.System{}, Random: mfclock.SystemRandom{},
+		Getenv: os.Getenv, Version: version,
+	}))
+}
--- /dev/null
+++ b/mfcontrol/control.go
@@ -0,0 +1,296 @@
+// Package mfcontrol makes the fleet follow the documents: for each shard that
+// this daemon holds it reads the shard's state, plans, publishes the plan and
+// asks the workers for it.
+package mfcontrol
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mfdocument"
+	"mothferry/mfhost"
+	"mothferry/mflease"
+	"mothferry/mfpeer"
+	"mothferry/mfplace"
+	"mothferry/mfplacement"
+	"mothferry/mfsnapshot"
+)
+
+// Leases tells which shards this daemon holds.
+type Leases interface {
+	Holdings() []mflease.Holding
+	Valid(f mothferry.Fence) bool
+	Lost(f mothferry.Fence)
+}
+
+// Peers is what control needs of the mesh.
+type Peers interface {
+	States() []mfpeer.State
+	PushPlacement(ctx context.Context, p mfplacement.Record)
+}
+
+// Node tells what this daemon itself has in force and in flight.
+type Node interface {
+	Status() mfpeer.Status
+}
+
+// Controller acts for the shards that this daemon holds.
+type Controller struct {
+	DataCentre mothferry.DataCentre
+	Platform   mothferry.Platform
+	Clock      mothferry.Clock
+	Interval   time.Duration
+	// Notice is how long after a daemon was last heard it counts as out, on
+	// top of the longest deadline of the leaving runner's service.
+	Notice time.Duration
+	Leases Leases
+	Peers  Peers
+	Self   Node
+	Store  *mfsnapshot.Store
+	Log    *log.Entry
+}
+
+// Run plans and acts until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		for _, h := range c.Leases.Holdings() {
+			if err := c.step(ctx, h); err != nil && ctx.Err() == nil {
+				c.Log.WithField("shard", h.Fence.Shard).WithError(err).Warn("Shard could not be brought up to its documents.")
+			}
+		}
+		if !mfclock.Sleep(ctx, c.Clock, c.Interval) {
+			return ctx.Err()
+		}
+	}
+}
+
+// Wanted returns the pools of this data centre that documents name or
+// placements still use.
+func (c *Controller) Wanted() []mothferry.PoolID {
+	current := c.Store.Current()
+	var pools []mothferry.PoolID
+	for _, r := range current.Documents {
+		if slices.Contains(r.Document.Place.DataCentres, c.DataCentre) {
+			pools = append(pools, r.Document.Place.Pools...)
+		}
+	}
+	for pool := range current.Placements {
+		pools = append(pools, pool)
+	}
+	slices.Sort(pools)
+	return slices.Compact(pools)
+}
+
+// step brings one shard one plan further.
+func (c *Controller) step(ctx context.Context, h mflease.Holding) error {
+	in, row, err := c.read(ctx, h)
+	if err != nil {
+		return err
+	}
+	out := mfplace.Plan(in)
+	if out.Changed {
+		if err := c.publish(ctx, h, out.Placement, row); err != nil {
+			return err
+		}
+	}
+	for service, n := range out.Unplaced {
+		c.Log.WithField("service", service).WithField("runners", n).WithField("shard", h.Fence.Shard).Warn("No host has room.")
+	}
+	return c.act(ctx, h.Fence, out)
+}
+
+// read gathers what a plan depends on, and the version of the placement's row.
+func (c *Controller) read(ctx context.Context, h mflease.Holding) (mfplace.Input, mothferry.Version, error) {
+	shard := h.Fence.Shard
+	in := mfplace.Input{Shard: shard, Epoch: h.Fence.Epoch, Quiet: c.quiet}
+	key := mfplacement.Key(shard)
+	rows, err := c.Platform.Table.Read(ctx, mothferry.Query{
+		Keys: []mothferry.Key{key}, Prefixes: []mothferry.Key{mfhost.Prefix(c.DataCentre)},
+	})
+	if err != nil {
+		return in, 0, trace.Wrap(err)
+	}
+	listed, err := c.listed(ctx)
+	if err != nil {
+		return in, 0, err
+	}
+	reports, err := c.reports(ctx, shard)
+	if err != nil {
+		return in, 0, err
+	}
+	var version mothferry.Version
+	for _, r := range rows {
+		if r.Key == key {
+			version = r.Version
+			if in.Previous, err = mfplacement.Decode(r.Value); err != nil {
+				return in, 0, err
+			}
+			continue
+		}
+		host, err := mfhost.Decode(r.Value)
+		if err != nil {
+			return in, 0, err
+		}
+		if host.Pool == shard.Pool {
+			tasks, reported := reports[host.Host]
+			in.Hosts = append(in.Hosts, mfplace.Host{Record: host, Listed: listed[host.Host], Reported: reported, Tasks: tasks})
+		}
+	}
+	in.Documents = c.documents(shard)
+	return in, version, nil
+}
+
+func (c *Controller) listed(ctx context.Context) (map[mothferry.HostID]mothferry.HostState, error) {
+	hosts, err := c.Platform.Hosts.Hosts(ctx, c.DataCentre)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	listed := map[mothferry.HostID]mothferry.HostState{}
+	for _, h := range hosts {
+		listed[h.Host] = h.State
+	}
+	return listed, nil
+}
+
+func (c *Controller) reports(ctx context.Context, s mothferry.Shard) (map[mothferry.HostID]map[mothferry.TaskID]mothferry.TaskStatus, error) {
+	reports, err := c.Platform.Workers.Reports(ctx, s)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	out := map[mothferry.HostID]map[mothferry.TaskID]mothferry.TaskStatus{}
+	for _, r := range reports {
+		tasks := map[mothferry.TaskID]mothferry.TaskStatus{}
+		for _, t := range r.Tasks {
+			tasks[t.Task] = t
+		}
+		out[r.Host] = tasks
+	}
+	return out, nil
+}
+
+// documents returns those that place runners in a shard, ordered by service.
+func (c *Controller) documents(s mothferry.Shard) []mfdocument.Document {
+	var documents []mfdocument.Document
+	for _, r := range c.Store.Current().Documents {
+		if r.Document.Share(s) > 0 {
+			documents = append(documents, r.Document)
+		}
+	}
+	slices.SortFunc(documents, func(a, b mfdocument.Document) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return documents
+}
+
+// publish writes a placement, fenced by the shard's row, and passes it on.
+func (c *Controller) publish(ctx context.Context, h mflease.Holding, p mfplacement.Record, row mothferry.Version) error {
+	data, err := p.Encode()
+	if err != nil {
+		return err
+	}
+	if !c.Leases.Valid(h.Fence) {
+		return nil
+	}
+	key := mfplacement.Key(h.Fence.Shard)
+	generation := []byte(strconv.FormatUint(uint64(p.Generation), 10))
+	_, err = c.Platform.Table.Commit(ctx, mothferry.Txn{
+		Checks: []mothferry.Check{h.Check, {Key: key, Version: row}},
+		Writes: []mothferry.Write{
+			{Key: key, Value: data},
+			{Key: mfplacement.GenerationKey(h.Fence.Shard), Value: generation},
+		},
+	})
+	var conflict *mothferry.ErrConflict
+	if errors.As(err, &conflict) {
+		for _, r := range conflict.Rows {
+			if r.Key == h.Check.Key {
+				c.Leases.Lost(h.Fence)
+			}
+		}
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.Store.AdoptPlacement(p)
+	c.Peers.PushPlacement(ctx, p)
+	return nil
+}
+
+// act asks the workers for what the plan says. Each request carries the
+// epoch; a worker that has seen a later one refuses.
+func (c *Controller) act(ctx context.Context, f mothferry.Fence, out mfplace.Output) error {
+	for _, s := range out.Starts {
+		if !c.Leases.Valid(f) {
+			return nil
+		}
+		if err := c.Platform.Workers.Start(ctx, s.Host, f, s.Task); err != nil {
+			return c.acted(f, err)
+		}
+	}
+	for _, s := range out.Stops {
+		if !c.Leases.Valid(f) {
+			return nil
+		}
+		if err := c.Platform.Workers.Stop(ctx, s.Host, f, s.Task); err != nil {
+			return c.acted(f, err)
+		}
+	}
+	return nil
+}
+
+func (c *Controller) acted(f mothferry.Fence, err error) error {
+	var fenced *mothferry.ErrFenced
+	if errors.As(err, &fenced) {
+		c.Leases.Lost(f)
+	}
+	return trace.Wrap(err)
+}
+
+// quiet reports whether every entry host of the data centre has a leaving
+// runner's state in force and nothing in flight at the shard's leaving
+// runners. A host not heard for the notice and the service's deadline has
+// nothing in flight any more that it could still bring to an end.
+func (c *Controller) quiet(r mfplacement.Runner) bool {
+	pool := c.poolOf(r.Task)
+	if !done(c.Self.Status(), pool, r.LeavingSince) {
+		return false
+	}
+	document, _ := c.Store.Current().Document(r.Service)
+	bound := c.Notice + document.Document.Requests.Deadline
+	now := c.Clock.Now()
+	for _, s := range c.Peers.States() {
+		if s.Peer.DataCentre != c.DataCentre || s.Heard.IsZero() || now.Sub(s.Heard) > bound {
+			continue
+		}
+		if !done(s.Status, pool, r.LeavingSince) {
+			return false
+		}
+	}
+	return true
+}
+
+func done(s mfpeer.Status, pool mothferry.PoolID, since mothferry.Generation) bool {
+	shard := s.Shards[pool]
+	return shard.Generation >= since && shard.InFlightLeaving == 0
+}
+
+// poolOf returns the pool of a task that this data centre has in force.
+func (c *Controller) poolOf(task mothferry.TaskID) mothferry.PoolID {
+	for pool, p := range c.Store.Current().Placements {
+		if slices.ContainsFunc(p.Runners, func(r mfplacement.Runner) bool { return r.Task == task }) {
+			return pool
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/mfdemo/demo.go
@@ -0,0 +1,198 @@
+package mfdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"mothferry"
+	"mothferry/mfdaemon"
+	"mothferry/mfexample"
+)
+
+// Bounds of the demo's waits.
+const (
+	startBound   = 5 * time.Second
+	inForceBound = 4 * time.Second
+	servingBound = 8 * time.Second
+)
+
+// Demo runs a deployment and prints what it saw.
+type Demo struct {
+	Clock  mothferry.Clock
+	Random mothferry.Random
+	Out    io.Writer
+	// Serve leaves the deployment running until the context ends.
+	Serve bool
+}
+
+// finding is one line of the demo's verdict.
+type finding struct {
+	what   string
+	detail string
+	held   bool
+}
+
+// Run runs the demo. It returns an error unless all of it held.
+func (d *Demo) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	deployment, err := newDeployment(d.Clock, d.Random)
+	if err != nil {
+		return err
+	}
+	deployment.run(ctx)
+	defer deployment.wait()
+	defer cancel()
+	findings, err := d.prepare(ctx, deployment)
+	if err != nil {
+		return err
+	}
+	if d.Serve {
+		return d.serve(ctx, deployment)
+	}
+	traffic := newTraffic(deployment)
+	findings = append(findings, traffic.run(ctx)...)
+	d.print(ctx, deployment, traffic, findings)
+	for _, f := range findings {
+		if !f.held {
+			return trace.Errorf("%s did not hold: %s", f.what, f.detail)
+		}
+	}
+	return nil
+}
+
+// prepare applies the example documents and waits until they are in force
+// everywhere and every runner serves.
+func (d *Demo) prepare(ctx context.Context, k *deployment) ([]finding, error) {
+	err := k.until(ctx, startBound, "every daemon answers", func(ctx context.Context) bool {
+		for _, n := range k.nodes {
+			if _, err := n.operator.Status(ctx); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return nil, err
+	}
+	documents, err := mfexample.Documents("kelani", "stoisk")
+	if err != nil {
+		return nil, err
+	}
+	began := d.Clock.Now()
+	var revision mothferry.Revision
+	for i, document := range documents {
+		client := k.nodes[i%len(k.nodes)].operator
+		revision, err = client.Apply(ctx, document.Service, document.Text, 0, "demo", mfdaemon.NewToken())
+		if err != nil {
+			return nil, err
+		}
+	}
+	if err := k.until(ctx, inForceBound, "documents are in force everywhere", k.inForce(revision)); err != nil {
+		return nil, err
+	}
+	inForce := d.Clock.Now().Sub(began)
+	if err := k.until(ctx, servingBound, "every runner serves", k.serving); err != nil {
+		return nil, err
+	}
+	return []finding{
+		{"documents in force everywhere", fmt.Sprintf("%d documents at %d daemons, %d ms", len(documents), len(k.nodes), inForce.Milliseconds()), true},
+		{"every runner placed and serving", fmt.Sprintf("%d ms after the first document", d.Clock.Now().Sub(began).Milliseconds()), true},
+	}, nil
+}
+
+// inForce returns the question whether a revision is in force at every daemon.
+func (k *deployment) inForce(revision mothferry.Revision) func(context.Context) bool {
+	return func(ctx context.Context) bool {
+		for _, n := range k.nodes {
+			s, err := n.operator.Status(ctx)
+			if err != nil || s.Revision < revision {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// serving asks whether every daemon sees every wanted runner of its data centre serve.
+func (k *deployment) serving(ctx context.Context) bool {
+	for _, n := range k.nodes {
+		s, err := n.operator.Status(ctx)
+		if err != nil || len(s.Services) == 0 {
+			return false
+		}
+		for _, service := range s.Services {
+			if service.Serving < service.Wanted {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (d *Demo) serve(ctx context.Context, k *deployment) error {
+	fmt.Fprintln(d.Out, "The deployment runs until it is interrupted (ctrl-C).")
+	fmt.Fprintf(d.Out, "\n%-10s %-6s %-28s %s\n", "DAEMON", "CENTRE", "CALLERS", "OPERATORS")
+	for _, n := range k.nodes {
+		fmt.Fprintf(d.Out, "%-10s %-6s %-28s http://%s\n", n.settings.Daemon, n.settings.DataCentre, n.callersURL(), n.settings.Listen.Operators)
+	}
+	first := k.nodes[0]
+	fmt.Fprintf(d.Out, `
+Try:
+  curl -i %s/quoting/price?records=500 -H 'Mothferry-Customer: label-1'
+  curl -i %s/stands/book -H 'Mothferry-Customer: exhibitor-1' -H 'Idempotency-Key: order-7' -d 'stand 12'
+  export MOTHFERRY_OPERATOR=http://%s
+  go run ./cmd/mothferry status
+  go run ./cmd/mothferry get quoting > quoting.yaml    # edit it, then:
+  go run ./cmd/mothferry apply --author me --wait quoting.yaml
+
+The platform's stand-in is at http://%s (switches under /standin/).
+`, first.callersURL(), first.callersURL(), first.settings.Listen.Operators, k.platform.Addr())
+	<-ctx.Done()
+	return nil
+}
+
+func (d *Demo) print(ctx context.Context, k *deployment, t *traffic, findings []finding) {
+	status, err := k.nodes[0].operator.Status(ctx)
+	if err != nil {
+		fmt.Fprintf(d.Out, "Status cannot be read: %v\n", err)
+		return
+	}
+	fmt.Fprintf(d.Out, "mothferry demo: %d daemons in %d data centres, %d hosts, revision %d in force\n\n",
+		len(k.nodes), centres, centres*hostsPerCentre, status.Revision)
+	d.printServices(ctx, k, t)
+	fmt.Fprintln(d.Out)
+	for _, f := range findings {
+		mark := "held"
+		if !f.held {
+			mark = "FAILED"
+		}
+		fmt.Fprintf(d.Out, "%-7s %-38s %s\n", mark, f.what, f.detail)
+	}
+}
+
+func (d *Demo) printServices(ctx context.Context, k *deployment, t *traffic) {
+	serving := map[mothferry.ServiceID][centres]int{}
+	for i := range centres {
+		s, err := k.nodes[i*daemonsPerCentre].operator.Status(ctx)
+		if err != nil {
+			continue
+		}
+		for _, service := range s.Services {
+			counts := serving[service.Service]
+			counts[i] = service.Serving
+			serving[service.Service] = counts
+		}
+	}
+	fmt.Fprintf(d.Out, "%-18s %-22s %9s %8s %8s\n", "SERVICE", "RUNNERS (dc1 dc2 dc3)", "ANSWERED", "NOT RUN", "UNKNOWN")
+	for _, service := range t.services {
+		counts := serving[service]
+		ends := t.ends[service]
+		fmt.Fprintf(d.Out, "%-18s %-22s %9d %8d %8d\n", service, fmt.Sprintf("%d %d %d", counts[0], counts[1], counts[2]),
+			ends[mothferry.EndAnswered], ends[mothferry.EndNotRun], ends[mothferry.EndUnknown])
+	}
+}
--- /dev/null
+++ b/mfentry/dispatch.go
@@ -0,0 +1,222 @@
+package mfentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mothferry"
+	"mothferry/mfpeer"
+	"mothferry/mfroute"
+)
+
+// maxTries bounds how often one request is sent, whatever the reasons.
+const maxTries = 4
+
+// spillTries bounds the peers that are asked to take over one request.
+const spillTries = 2
+
+// dispatch brings a request to an answer, or to an ErrNotRun or ErrOutcomeUnknown.
+func (h *Handler) dispatch(ctx context.Context, q *request) (*answer, error) {
+	tried := map[mothferry.TaskID]bool{}
+	var last *failure
+	for try := range maxTries {
+		lease, err := h.Router.Acquire(ctx, q.service, mfroute.Request{
+			Customer: q.customer, Priority: q.priority, Exclude: tried,
+			Again: try > 0, Retry: last != nil && last.reason != mothferry.ReasonRefused,
+		})
+		if err != nil {
+			return h.withoutRunner(ctx, q, last, err)
+		}
+		a, f := h.try(ctx, q, lease)
+		if f == nil {
+			return a, nil
+		}
+		last = f
+		if f.result != mfroute.ResultBusy {
+			tried[lease.Task] = true
+		}
+		if ctx.Err() != nil || !q.mayTryAgain(f) {
+			break
+		}
+	}
+	return nil, h.ended(last)
+}
+
+// mayTryAgain reports whether a request may be sent once more: it provably
+// did not run, or may run more than once; and its body is still there.
+func (q *request) mayTryAgain(f *failure) bool {
+	if !q.held() && q.stream.used {
+		return false
+	}
+	return f.notRun || q.repeatable
+}
+
+// try sends a request to one runner.
+func (h *Handler) try(ctx context.Context, q *request, lease *mfroute.Lease) (*answer, *failure) {
+	if !h.Clock.Now().Before(q.deadline) {
+		// A daemon that was paused while the request waited must not send
+		// what has expired: its caller was told so, or will be.
+		h.Router.Release(q.service, lease, mfroute.ResultNeutral)
+		return nil, &failure{notRun: true, reason: mothferry.ReasonDeadline, result: mfroute.ResultNeutral}
+	}
+	u := upstream{transport: h.Transports.get(h.connections(lease)), address: lease.Address}
+	response, f := h.attempt(ctx, q, u)
+	var a *answer
+	if f == nil {
+		a, f = h.receive(ctx, q, response)
+	}
+	if f != nil {
+		h.Router.Release(q.service, lease, f.result)
+		h.Log.WithField("request", q.id).WithField("runner", lease.Task).WithField("reason", f.reason).
+			WithField("not_run", f.notRun).Debug("Attempt failed.")
+		return nil, f
+	}
+	leaving := a.header.Get(mothferry.HeaderLeaving) != ""
+	a.settle = func(result mfroute.Result) {
+		if leaving && result == mfroute.ResultAnswered {
+			result = mfroute.ResultLeaving
+		}
+		h.Router.Release(q.service, lease, result)
+	}
+	a.header.Set(mothferry.HeaderRunner, string(lease.Task))
+	return a, nil
+}
+
+// connections returns this daemon's part of a runner's connections. All entry
+// hosts count, also those that are down: a limit that followed the membership
+// would be overrun while one of them returns.
+func (h *Handler) connections(lease *mfroute.Lease) int {
+	return max(int(lease.Connections)/max(h.EntryHosts, 1), 1)
+}
+
+// withoutRunner ends a request for which no runner of this data centre was
+// had: another data centre may serve it. If nothing replaces an earlier
+// failure, that failure is what the caller is told.
+func (h *Handler) withoutRunner(ctx context.Context, q *request, last *failure, err error) (*answer, error) {
+	var refusal *mothferry.ErrNotRun
+	noRunner := errors.As(err, &refusal) && refusal.Reason == mothferry.ReasonNoRunner
+	if noRunner && q.hops == 0 && (last == nil || q.mayTryAgain(last)) {
+		a, f := h.spill(ctx, q)
+		if f == nil {
+			return a, nil
+		}
+		if !f.notRun {
+			return nil, h.ended(f)
+		}
+	}
+	if last != nil {
+		return nil, h.ended(last)
+	}
+	return nil, err
+}
+
+// spill passes a request to a daemon of another data centre that has runners
+// of the service free.
+func (h *Handler) spill(ctx context.Context, q *request) (*answer, *failure) {
+	last := &failure{notRun: true, reason: mothferry.ReasonNoRunner}
+	for i, p := range h.spillPeers(q.service) {
+		if i >= spillTries || ctx.Err() != nil || !q.held() && q.stream.used {
+			break
+		}
+		a, f := h.spillTo(ctx, q, p)
+		if f == nil {
+			return a, nil
+		}
+		last = f
+		if !f.notRun {
+			break
+		}
+	}
+	return nil, last
+}
+
+func (h *Handler) spillTo(ctx context.Context, q *request, p mothferry.DaemonID) (*answer, *failure) {
+	transport := newTransport(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return h.Mesh.DialSpill(ctx, p, q.hops+1)
+	})
+	transport.DisableKeepAlives = true
+	response, f := h.attempt(ctx, q, upstream{transport: transport, address: "peer", peer: true})
+	if f != nil {
+		return nil, f
+	}
+	a, f := h.receive(ctx, q, response)
+	if f != nil {
+		return nil, f
+	}
+	a.peer = true
+	a.settle = func(mfroute.Result) {}
+	return a, nil
+}
+
+// spillPeers returns live daemons of other data centres with free runners of
+// the service, in random order.
+func (h *Handler) spillPeers(service mothferry.ServiceID) []mothferry.DaemonID {
+	var peers []mothferry.DaemonID
+	for _, s := range h.Mesh.Live(h.PeerBound) {
+		if s.Peer.DataCentre != h.DataCentre && s.Status.Services[service].Free > 0 {
+			peers = append(peers, s.Peer.Daemon)
+		}
+	}
+	for i := len(peers) - 1; i > 0; i-- {
+		j := h.Random.IntN(i + 1)
+		peers[i], peers[j] = peers[j], peers[i]
+	}
+	return peers
+}
+
+// ended turns the last failure of a request into the error that ends it.
+func (h *Handler) ended(f *failure) error {
+	if f.notRun {
+		return &mothferry.ErrNotRun{Reason: f.reason, RetryAfter: h.comeBack(), Err: f.err}
+	}
+	return &mothferry.ErrOutcomeUnknown{Reason: f.reason, Err: f.err}
+}
+
+// comeBack returns when to come back after a failure that is expected to be
+// short, spread so that callers do not return together.
+func (h *Handler) comeBack() time.Duration {
+	return time.Duration((0.5 + h.Random.Float64()) * float64(time.Second))
+}
+
+// Mesh is what the entry needs of the peers.
+type Mesh interface {
+	Live(bound time.Duration) []mfpeer.State
+	DialSpill(ctx context.Context, peer mothferry.DaemonID, hops int) (net.Conn, error)
+}
+
+// statusOf returns the HTTP status of an end other than answered.
+func statusOf(end mothferry.End, reason mothferry.Reason) int {
+	switch reason {
+	case mothferry.ReasonUnknownService:
+		return http.StatusNotFound
+	case mothferry.ReasonBadRequest, mothferry.ReasonBodyUnreadable:
+		return http.StatusBadRequest
+	case mothferry.ReasonUpgrade:
+		return http.StatusNotImplemented
+	case mothferry.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case mothferry.ReasonKeyMismatch:
+		return http.StatusUnprocessableEntity
+	case mothferry.ReasonCustomerLimit:
+		return http.StatusTooManyRequests
+	case mothferry.ReasonStillRunning, mothferry.ReasonOutcomeUnknown, mothferry.ReasonAnswerTooLarge:
+		return http.StatusConflict
+	}
+	switch {
+	case end == mothferry.EndNotRun:
+		return http.StatusServiceUnavailable
+	case reason == mothferry.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// retrySeconds returns a duration as Retry-After writes it: whole seconds, rounded up.
+func retrySeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
--- /dev/null
+++ b/mfexample/example.go
@@ -0,0 +1,47 @@
+// Package mfexample holds the example documents of the project's two first
+// users, for the demo, the tests and newcomers.
+package mfexample
+
+import (
+	"embed"
+	"io/fs"
+	"slices"
+	"strings"
+
+	"mothferry/mfdocument"
+)
+
+//go:embed documents/*.yaml
+var files embed.FS
+
+// Document is one example document and its text.
+type Document struct {
+	Name string
+	Text string
+	mfdocument.Document
+}
+
+// Documents returns the examples of the named teams, ordered by file name.
+func Documents(teams ...string) ([]Document, error) {
+	entries, err := fs.ReadDir(files, "documents")
+	if err != nil {
+		return nil, err
+	}
+	var documents []Document
+	for _, e := range entries {
+		team, _, _ := strings.Cut(e.Name(), ".")
+		if !slices.Contains(teams, team) {
+			continue
+		}
+		text, err := fs.ReadFile(files, "documents/"+e.Name())
+		if err != nil {
+			return nil, err
+		}
+		document, err := mfdocument.Parse(e.Name(), text)
+		if err != nil {
+			return nil, err
+		}
+		documents = append(documents, Document{Name: e.Name(), Text: string(text), Document: document})
+	}
+	return documents, nil
+}
--- /dev/null
+++ b/mflease/keeper.go
@@ -0,0 +1,332 @@
+package mflease
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mfroute"
+)
+
+// Parts of the lease: it is renewed after a third, and the holder itself
+// counts it as lapsed when an eighth is still left, so that an act begun just
+// before the end is not still under way after it.
+const (
+	renewPart  = 3
+	marginPart = 8
+)
+
+// candidates is how many daemons of a data centre hold shards. More would
+// spread the work thinner, at the price of one renewed row each.
+const candidates = 4
+
+// Keeper keeps this daemon's lease and claims shards.
+type Keeper struct {
+	Self       mothferry.DaemonID
+	DataCentre mothferry.DataCentre
+	Table      mothferry.Table
+	Clock      mothferry.Clock
+	Lease      time.Duration
+	// Live returns the daemons of this data centre believed alive, this one included.
+	Live func() []mothferry.DaemonID
+	// Wanted returns the pools of this data centre that need a holder.
+	Wanted   func() []mothferry.PoolID
+	NewToken func() mothferry.Token
+	Log      *log.Entry
+
+	mutex   sync.Mutex
+	version mothferry.Version
+	until   time.Time
+	held    map[mothferry.PoolID]seenShard
+
+	// Only Run uses the fields below.
+	watches map[mothferry.DaemonID]watch
+}
+
+// Run keeps the lease until ctx ends, then gives it back.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.watches = map[mothferry.DaemonID]watch{}
+	for {
+		if err := k.round(ctx); err != nil && ctx.Err() == nil {
+			k.Log.WithError(err).Warn("Lease round failed.")
+		}
+		if !mfclock.Sleep(ctx, k.Clock, k.Lease/(2*renewPart)) {
+			k.resign()
+			return ctx.Err()
+		}
+	}
+}
+
+// Holdings returns the shards that this daemon may act for at this moment.
+func (k *Keeper) Holdings() []Holding {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !k.Clock.Now().Before(k.until) {
+		return nil
+	}
+	var out []Holding
+	for _, pool := range slices.Sorted(maps.Keys(k.held)) {
+		out = append(out, k.holding(pool))
+	}
+	return out
+}
+
+// Valid reports whether this daemon may still act under a fence.
+func (k *Keeper) Valid(f mothferry.Fence) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	s, ok := k.held[f.Shard.Pool]
+	return ok && s.row.Epoch == f.Epoch && k.Clock.Now().Before(k.until)
+}
+
+func (k *Keeper) holding(pool mothferry.PoolID) Holding {
+	s := k.held[pool]
+	shard := mothferry.Shard{DataCentre: k.DataCentre, Pool: pool}
+	return Holding{
+		Fence: mothferry.Fence{Shard: shard, Epoch: s.row.Epoch},
+		Check: mothferry.Check{Key: ShardKey(shard), Version: s.version},
+	}
+}
+
+// Lost gives up a shard that a failed check showed to have changed hands.
+func (k *Keeper) Lost(f mothferry.Fence) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if s, ok := k.held[f.Shard.Pool]; ok && s.row.Epoch == f.Epoch {
+		delete(k.held, f.Shard.Pool)
+	}
+}
+
+// round renews the lease if it is due and claims what this daemon should hold.
+func (k *Keeper) round(ctx context.Context) error {
+	if !k.candidate() && !k.holdsAny() {
+		return nil
+	}
+	if err := k.renew(ctx); err != nil {
+		return err
+	}
+	v, err := k.read(ctx)
+	if err != nil {
+		return err
+	}
+	now := k.Clock.Now()
+	k.watches = observe(k.watches, v, now)
+	k.confirm(v)
+	for _, pool := range k.Wanted() {
+		if err := k.consider(ctx, v, pool, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) candidate() bool {
+	ranked := mfroute.Rank("holders", k.Live())
+	return slices.Index(ranked, k.Self) < candidates
+}
+
+func (k *Keeper) holdsAny() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return len(k.held) > 0
+}
+
+// renew writes this daemon's row if a third of the lease has passed. After a
+// lapse or a conflict nothing is held any more until the shards' rows, which
+// are read next, say otherwise.
+func (k *Keeper) renew(ctx context.Context) error {
+	k.mutex.Lock()
+	version, until := k.version, k.until
+	k.mutex.Unlock()
+	began := k.Clock.Now()
+	full := k.Lease - k.Lease/marginPart
+	if version != 0 && until.Sub(began) > full-k.Lease/renewPart {
+		return nil
+	}
+	token := k.NewToken()
+	data, err := encode(holderRow{Daemon: k.Self, Token: token})
+	if err != nil {
+		return err
+	}
+	key := holderKey(k.DataCentre, k.Self)
+	next, err := k.Table.Commit(ctx, mothferry.Txn{
+		Checks: []mothferry.Check{{Key: key, Version: version}},
+		Writes: []mothferry.Write{{Key: key, Value: data}},
+	})
+	var conflict *mothferry.ErrConflict
+	if errors.As(err, &conflict) && len(conflict.Rows) > 0 {
+		return k.renewConflict(conflict.Rows[0])
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !began.Before(k.until) {
+		k.held = map[mothferry.PoolID]seenShard{}
+	}
+	k.version, k.until = next, began.Add(full)
+	return nil
+}
+
+// renewConflict handles a row that is not as this daemon last wrote it. The
+// row may be its own earlier write whose reply was lost, or that of an
+// earlier run of this daemon; it may be gone because the shards were taken
+// over. In each case the next round goes on from the row as it is, and the
+// lease is not lengthened by this one.
+func (k *Keeper) renewConflict(row mothferry.Row) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.version = row.Version
+	if row.Version == 0 {
+		k.held = map[mothferry.PoolID]seenShard{}
+		k.until = time.Time{}
+	}
+	return nil
+}
+
+func (k *Keeper) read(ctx context.Context) (view, error) {
+	v := view{holders: map[mothferry.DaemonID]mothferry.Row{}, shards: map[mothferry.PoolID]seenShard{}}
+	holders, shards := holderPrefix(k.DataCentre), shardPrefix(k.DataCentre)
+	rows, err := k.Table.Read(ctx, mothferry.Query{Prefixes: []mothferry.Key{holders, shards}})
+	if err != nil {
+		return v, trace.Wrap(err)
+	}
+	for _, r := range rows {
+		if name, ok := strings.CutPrefix(string(r.Key), string(holders)); ok {
+			v.holders[mothferry.DaemonID(name)] = r
+			continue
+		}
+		row, err := decode[shardRow](r)
+		if err != nil {
+			return v, err
+		}
+		pool := mothferry.PoolID(strings.TrimPrefix(string(r.Key), string(shards)))
+		v.shards[pool] = seenShard{row: row, version: r.Version}
+	}
+	return v, nil
+}
+
+// confirm drops shards that the table shows in other hands.
+func (k *Keeper) confirm(v view) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for pool, s := range k.held {
+		if v.shards[pool].version != s.version {
+			delete(k.held, pool)
+			k.Log.WithField("pool", pool).Warn("Shard was taken over.")
+		}
+	}
+}
+
+// consider claims a pool's shard if it has no holder and this daemon comes
+// first for it, or goes on holding what its row already says is its own.
+func (k *Keeper) consider(ctx context.Context, v view, pool mothferry.PoolID, now time.Time) error {
+	s, exists := v.shards[pool]
+	if exists && s.row.Holder != k.Self && !lapsed(s.row.Holder, v, k.watches, now, k.Lease) {
+		return nil
+	}
+	k.mutex.Lock()
+	_, holds := k.held[pool]
+	k.mutex.Unlock()
+	if holds || !k.first(pool, s.row.Holder, exists) {
+		return nil
+	}
+	return k.claim(ctx, v, pool, s)
+}
+
+// first reports whether this daemon comes first among those alive for a pool.
+// A shard whose row names this daemon, from before a lapse, is its to reclaim.
+func (k *Keeper) first(pool mothferry.PoolID, holder mothferry.DaemonID, exists bool) bool {
+	if exists && holder == k.Self {
+		return true
+	}
+	live := slices.DeleteFunc(slices.Clone(k.Live()), func(d mothferry.DaemonID) bool { return exists && d == holder })
+	ranked := mfroute.Rank("holders", live)
+	ranked = ranked[:min(candidates, len(ranked))]
+	return len(ranked) > 0 && mfroute.Rank(string(pool), ranked)[0] == k.Self
+}
+
+// claim takes a shard with the next epoch. The transaction deletes the old
+// holder's row, so that a renewal under way cannot bring its lease back.
+func (k *Keeper) claim(ctx context.Context, v view, pool mothferry.PoolID, s seenShard) error {
+	shard := mothferry.Shard{DataCentre: k.DataCentre, Pool: pool}
+	row := shardRow{Holder: k.Self, Epoch: s.row.Epoch + 1, Token: k.NewToken()}
+	data, err := encode(row)
+	if err != nil {
+		return err
+	}
+	k.mutex.Lock()
+	own, until := k.version, k.until
+	k.mutex.Unlock()
+	if own == 0 || !k.Clock.Now().Before(until) {
+		return nil
+	}
+	txn := mothferry.Txn{
+		Checks: []mothferry.Check{
+			{Key: ShardKey(shard), Version: s.version},
+			{Key: holderKey(k.DataCentre, k.Self), Version: own},
+		},
+		Writes: []mothferry.Write{{Key: ShardKey(shard), Value: data}},
+	}
+	if old := s.row.Holder; old != "" && old != k.Self {
+		oldRow := v.holders[old]
+		txn.Checks = append(txn.Checks, mothferry.Check{Key: holderKey(k.DataCentre, old), Version: oldRow.Version})
+		if oldRow.Version != 0 {
+			txn.Writes = append(txn.Writes, mothferry.Write{Key: holderKey(k.DataCentre, old), Delete: true})
+			delete(v.holders, old)
+		}
+	}
+	version, err := k.Table.Commit(ctx, txn)
+	var conflict *mothferry.ErrConflict
+	if errors.As(err, &conflict) {
+		// Somebody else was faster, or the holder is alive. A claim of this
+		// daemon whose reply was lost is found by the next round: the row
+		// names this daemon, which then claims it again with a new epoch.
+		return nil
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.held == nil {
+		k.held = map[mothferry.PoolID]seenShard{}
+	}
+	k.held[pool] = seenShard{row: row, version: version}
+	k.Log.WithField("pool", pool).WithField("epoch", row.Epoch).Info("Shard is held.")
+	return nil
+}
+
+// resignTimeout bounds the giving back of a lease at a stop.
+const resignTimeout = time.Second
+
+// resign deletes this daemon's row, so that others need not wait for its lease to end.
+func (k *Keeper) resign() {
+	k.mutex.Lock()
+	version := k.version
+	k.until, k.held, k.version = time.Time{}, nil, 0
+	k.mutex.Unlock()
+	if version == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	key := holderKey(k.DataCentre, k.Self)
+	_, err := k.Table.Commit(ctx, mothferry.Txn{
+		Checks: []mothferry.Check{{Key: key, Version: version}},
+		Writes: []mothferry.Write{{Key: key, Delete: true}},
+	})
+	if err != nil {
+		k.Log.WithError(err).Info("Lease could not be given back; it ends by itself.")
+	}
+}
--- /dev/null
+++ b/mfmetric/metric.go
@@ -0,0 +1,65 @@
+// Package mfmetric holds a daemon's metrics.
+package mfmetric
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mothferry"
+)
+
+// Metrics are the counters of one daemon. They implement the entry's Observer.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	requests *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+}
+
+// Gauges are the values that are read when the metrics are.
+type Gauges struct {
+	Revision      func() float64
+	InFlight      func() float64
+	Peers         func() float64
+	Holdings      func() float64
+	BytesSent     func() float64
+	BytesReceived func() float64
+}
+
+// New returns metrics in a registry of their own.
+func New(g Gauges) *Metrics {
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mothferry_requests_total", Help: "Requests by service, end and reason.",
+		}, []string{"service", "end", "reason"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "mothferry_request_seconds", Help: "Time from a request's arrival to its end.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 15),
+		}, []string{"service", "end"}),
+	}
+	m.Registry.MustRegister(m.requests, m.duration)
+	m.gauge("mothferry_config_revision", "Revision of the documents in force.", g.Revision)
+	m.gauge("mothferry_requests_in_flight", "Requests in work at this daemon.", g.InFlight)
+	m.gauge("mothferry_peers_live", "Peers heard lately.", g.Peers)
+	m.gauge("mothferry_shards_held", "Shards that this daemon holds.", g.Holdings)
+	m.counter("mothferry_peer_sent_bytes_total", "Bytes sent to peers.", g.BytesSent)
+	m.counter("mothferry_peer_received_bytes_total", "Bytes received from peers.", g.BytesReceived)
+	return m
+}
+
+func (m *Metrics) gauge(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+func (m *Metrics) counter(name, help string, read func() float64) {
+	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
+// Ended counts the end of a request. Requests of no known service share the
+// empty name, so that callers cannot grow the metrics without bound.
+func (m *Metrics) Ended(service mothferry.ServiceID, end mothferry.End, reason mothferry.Reason, took time.Duration) {
+	m.requests.WithLabelValues(string(service), string(end), string(reason)).Inc()
+	m.duration.WithLabelValues(string(service), string(end)).Observe(took.Seconds())
+}
--- /dev/null
+++ b/mfpeer/status.go
@@ -0,0 +1,101 @@
+package mfpeer
+
+import (
+	"slices"
+
+	"mothferry"
+	"mothferry/mfpeer/mfwire"
+)
+
+// Peer is another daemon as the settings name it.
+type Peer struct {
+	Daemon     mothferry.DaemonID
+	DataCentre mothferry.DataCentre
+	// Address is the IP number and port it takes peers at.
+	Address string
+}
+
+// Status is a heartbeat: what a daemon has in force and can offer.
+type Status struct {
+	// Incarnation tells one run of a daemon from the next.
+	Incarnation uint64
+	Revision    mothferry.Revision
+	Shards      map[mothferry.PoolID]ShardStatus
+	Services    map[mothferry.ServiceID]ServiceStatus
+	Stopping    bool
+}
+
+// ShardStatus tells which placement of a shard a daemon has in force.
+type ShardStatus struct {
+	Generation mothferry.Generation
+	// InFlightLeaving counts its requests at leaving runners of the shard.
+	InFlightLeaving int
+}
+
+// ServiceStatus tells what a daemon could take over of a service.
+type ServiceStatus struct {
+	Free   int
+	Queued int
+	// InFlight counts its requests at each runner, by the runners' task ids in order.
+	InFlight []int
+}
+
+func (s Status) wire() *mfwire.Status {
+	out := &mfwire.Status{Incarnation: s.Incarnation, Revision: uint64(s.Revision), Stopping: s.Stopping}
+	for pool, k := range s.Shards {
+		out.Shards = append(out.Shards, &mfwire.ShardStatus{
+			Pool: string(pool), Generation: uint64(k.Generation), InFlightLeaving: uint32(k.InFlightLeaving),
+		})
+	}
+	for service, k := range s.Services {
+		status := &mfwire.ServiceStatus{Service: string(service), Free: uint32(k.Free), Queued: uint32(k.Queued)}
+		for _, n := range k.InFlight {
+			status.InFlight = append(status.InFlight, uint32(n))
+		}
+		out.Services = append(out.Services, status)
+	}
+	return out
+}
+
+func statusFrom(w *mfwire.Status) Status {
+	out := Status{
+		Incarnation: w.GetIncarnation(),
+		Revision:    mothferry.Revision(w.GetRevision()),
+		Stopping:    w.GetStopping(),
+		Shards:      map[mothferry.PoolID]ShardStatus{},
+		Services:    map[mothferry.ServiceID]ServiceStatus{},
+	}
+	for _, k := range w.GetShards() {
+		out.Shards[mothferry.PoolID(k.GetPool())] = ShardStatus{
+			Generation: mothferry.Generation(k.GetGeneration()), InFlightLeaving: int(k.GetInFlightLeaving()),
+		}
+	}
+	for _, k := range w.GetServices() {
+		status := ServiceStatus{Free: int(k.GetFree()), Queued: int(k.GetQueued())}
+		for _, n := range k.GetInFlight() {
+			status.InFlight = append(status.InFlight, int(n))
+		}
+		out.Services[mothferry.ServiceID(k.GetService())] = status
+	}
+	return out
+}
+
+// Equal reports whether two statuses say the same.
+func (s Status) Equal(o Status) bool {
+	if s.Incarnation != o.Incarnation || s.Revision != o.Revision || s.Stopping != o.Stopping ||
+		len(s.Shards) != len(o.Shards) || len(s.Services) != len(o.Services) {
+		return false
+	}
+	for pool, k := range s.Shards {
+		if o.Shards[pool] != k {
+			return false
+		}
+	}
+	for service, k := range s.Services {
+		other, ok := o.Services[service]
+		if !ok || other.Free != k.Free || other.Queued != k.Queued || !slices.Equal(other.InFlight, k.InFlight) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/mfplacement/placement.go
@@ -0,0 +1,100 @@
+// Package mfplacement holds the published placement of one shard: which
+// runners of which services run where, as the shard's holder last wrote it.
+package mfplacement
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"mothferry"
+)
+
+// State is a placed runner's state as its shard's holder publishes it.
+type State string
+
+// States of a placed runner.
+const (
+	// StateStarting means that the task was decided on and does not serve yet.
+	StateStarting State = "starting"
+	// StateServing means that requests may be sent to the runner.
+	StateServing State = "serving"
+	// StateLeaving means that the runner gets no new requests and will be
+	// stopped once every entry host has none in flight there.
+	StateLeaving State = "leaving"
+	// StateStopping means that the worker was told to stop the task.
+	StateStopping State = "stopping"
+)
+
+// Runner is one placed runner.
+type Runner struct {
+	Task        mothferry.TaskID      `json:"task"`
+	Service     mothferry.ServiceID   `json:"service"`
+	Host        mothferry.HostID      `json:"host"`
+	State       State                 `json:"state"`
+	Address     string                `json:"address,omitempty"`
+	Resources   mothferry.Resources   `json:"resources"`
+	Slots       mothferry.Slots       `json:"slots"`
+	Connections mothferry.Connections `json:"connections"`
+	// LeavingSince is the generation that first published the runner as leaving.
+	LeavingSince mothferry.Generation `json:"leaving_since,omitempty"`
+}
+
+// Record is the placement of one shard: a row of the platform's table.
+type Record struct {
+	DataCentre mothferry.DataCentre `json:"data_centre"`
+	Pool       mothferry.PoolID     `json:"pool"`
+	// Epoch is that of the lease under which the record was written.
+	Epoch mothferry.Epoch `json:"epoch"`
+	// Generation grows by one with each write, over all epochs.
+	Generation mothferry.Generation `json:"generation"`
+	Runners    []Runner             `json:"runners"`
+	// Failures counts, by host, the tasks that failed there since one last served.
+	Failures map[mothferry.HostID]int `json:"failures,omitempty"`
+}
+
+// Shard returns the shard that the record places.
+func (r Record) Shard() mothferry.Shard {
+	return mothferry.Shard{DataCentre: r.DataCentre, Pool: r.Pool}
+}
+
+// Prefix returns the key prefix of all placements of a data centre.
+func Prefix(dc mothferry.DataCentre) mothferry.Key {
+	return mothferry.Key(fmt.Sprintf("placements/%s/", dc))
+}
+
+// Key returns the key of a shard's placement row.
+func Key(s mothferry.Shard) mothferry.Key {
+	return Prefix(s.DataCentre) + mothferry.Key(s.Pool)
+}
+
+// Encode returns the record's stored form.
+func (r Record) Encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, trace.Wrap(err)
+}
+
+// Decode reads the stored form of a record.
+func Decode(data []byte) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(data, &record); err != nil {
+		return Record{}, trace.Wrap(&mothferry.ErrBadReply{Operation: "read of a placement", Detail: err.Error()})
+	}
+	if record.DataCentre == "" || record.Pool == "" || record.Generation == 0 {
+		return Record{}, trace.Wrap(&mothferry.ErrBadReply{Operation: "read of a placement", Detail: "shard or generation is missing"})
+	}
+	return record, nil
+}
+
+// GenerationPrefix returns the key prefix of the rows that hold only the
+// generations of a data centre's placements, so that daemons see what is new
+// without reading whole placements.
+func GenerationPrefix(dc mothferry.DataCentre) mothferry.Key {
+	return mothferry.Key(fmt.Sprintf("generations/%s/", dc))
+}
+
+// GenerationKey returns the key of a shard's generation row.
+func GenerationKey(s mothferry.Shard) mothferry.Key {
+	return GenerationPrefix(s.DataCentre) + mothferry.Key(s.Pool)
+}
--- /dev/null
+++ b/mfroute/balancer.go
@@ -0,0 +1,425 @@
+// Package mfroute chooses the runner of each request: within this daemon's
+// share of every runner's slots, beyond it where other daemons' slots are
+// idle, away from runners that fail or leave, and with a bounded queue in
+// front. The Balancer is a state machine without goroutines or timers;
+// Service makes it safe to share.
+package mfroute
+
+import (
+	"sort"
+	"time"
+
+	"mothferry"
+	"mothferry/mfadmit"
+	"mothferry/mfdocument"
+	"mothferry/mfplacement"
+)
+
+// Limits bounds what a balancer does.
+type Limits struct {
+	// Queue bounds the requests that wait.
+	Queue int
+	// WaitShare is the largest part of a request's remaining time that it may
+	// be expected to wait; above it the request is refused at once.
+	WaitShare float64
+	// EjectShare is the largest part of the runners that may be ejected at once.
+	EjectShare float64
+	// RetryRatio is the number of second tries allowed for each first try.
+	RetryRatio float64
+	// Borrow allows slots beyond this daemon's share where peers leave them idle.
+	Borrow bool
+}
+
+// Ticket is a request's wait for a runner.
+type Ticket struct {
+	Customer mothferry.CustomerID
+	Priority mfadmit.Priority
+	Deadline time.Time
+	// Exclude lists the runners that must not be chosen, because they already failed this request.
+	Exclude map[mothferry.TaskID]bool
+	// Again marks a second or later try, which is not held to the limits anew.
+	Again bool
+	// Retry marks a try after a failure, which draws on the retry budget. A
+	// try after a refusal costs the runner next to nothing and does not.
+	Retry bool
+	// Decide is called once, with a lease or an ErrNotRun. It must not block.
+	Decide func(*Lease, error)
+
+	waiter *mfadmit.Waiter[*Ticket]
+}
+
+// Lease is the right to send one request to one runner.
+type Lease struct {
+	Task    mothferry.TaskID
+	Address string
+	// Connections is the runner's limit over all daemons.
+	Connections mothferry.Connections
+	// Borrowed tells that the slot is beyond this daemon's share.
+	Borrowed bool
+
+	runner   *runner
+	customer mothferry.CustomerID
+	granted  time.Time
+}
+
+// PeerUse is what another daemon of the data centre last said of the service.
+type PeerUse struct {
+	Queued int
+	// InFlight counts its requests by the runners' task ids in order.
+	InFlight []int
+}
+
+// Mean service time: the assumption before the first answer, and the weight
+// of each answer in the moving average.
+const (
+	initialMean = 50 * time.Millisecond
+	meanWeight  = 0.05
+)
+
+// Retry budget: its largest balance, which is also what it starts with.
+const retryBurst = 10
+
+// Bounds of the time after which a refused caller is told to come back.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// Balancer routes the requests of one service at one daemon. It is not safe
+// for concurrent use.
+type Balancer struct {
+	Self   mothferry.DaemonID
+	Clock  mothferry.Clock
+	Random mothferry.Random
+	Limits Limits
+
+	document mfdocument.Document
+	queue    mfadmit.Queue[*Ticket]
+	// runners are ordered by task id.
+	runners []*runner
+	// departed are runners no longer placed that still have requests in flight.
+	departed map[*runner]bool
+	mean     float64
+	retries  float64
+	// credit bounds the borrowed slots, and borrowed counts them.
+	credit   int
+	borrowed int
+}
+
+// Update takes over a new document, placement or membership of the data centre.
+func (b *Balancer) Update(d mfdocument.Document, placed []mfplacement.Runner, members []mothferry.DaemonID) {
+	if b.departed == nil {
+		b.departed = map[*runner]bool{}
+		b.mean = float64(initialMean)
+		b.retries = retryBurst
+	}
+	b.document = d
+	b.queue.Limit = b.Limits.Queue
+	known := map[mothferry.TaskID]*runner{}
+	for _, r := range b.runners {
+		known[r.placed.Task] = r
+	}
+	b.runners = nil
+	for _, p := range placed {
+		r, ok := known[p.Task]
+		if !ok {
+			r = &runner{window: 1}
+		}
+		delete(known, p.Task)
+		r.placed = p
+		r.share = Share(p.Task, p.Slots, members, b.Self)
+		r.connections = max(int(p.Connections)/max(len(members), 1), 1)
+		b.runners = append(b.runners, r)
+	}
+	for _, r := range known {
+		if r.inFlight > 0 {
+			b.departed[r] = true
+		}
+	}
+	sort.Slice(b.runners, func(i, j int) bool { return b.runners[i].placed.Task < b.runners[j].placed.Task })
+	b.grant()
+}
+
+// Heard takes over what the other daemons of the data centre last said, and
+// works out how many of their idle slots this daemon may borrow.
+//
+// Idle slots are shared among the daemons that have requests waiting, in
+// proportion to how many wait: every daemon that has heard the same works out
+// the same parts, so that stale counts do not make all of them run for the
+// same slots at once.
+func (b *Balancer) Heard(peers []PeerUse) {
+	waiting := b.queue.Len()
+	for _, r := range b.runners {
+		r.others = 0
+	}
+	for _, p := range peers {
+		waiting += p.Queued
+		if len(p.InFlight) != len(b.runners) {
+			continue
+		}
+		for i, r := range b.runners {
+			r.others += p.InFlight[i]
+		}
+	}
+	idle := 0
+	now := b.Clock.Now()
+	for _, r := range b.runners {
+		if r.usable(now) {
+			idle += max(r.spare()-max(r.free(), 0), 0)
+		}
+	}
+	b.credit = b.borrowed
+	if waiting > 0 {
+		b.credit += (idle*b.queue.Len() + waiting - 1) / waiting
+	}
+	b.grant()
+}
+
+// Submit asks for a runner. The ticket's Decide is called now or later.
+func (b *Balancer) Submit(t *Ticket) {
+	if err := b.admit(t); err != nil {
+		t.Decide(nil, err)
+		return
+	}
+	t.waiter = &mfadmit.Waiter[*Ticket]{Customer: t.Customer, Priority: t.Priority, Front: t.Again, Value: t}
+	if evicted := b.queue.Push(t.waiter); evicted != nil {
+		evicted.Value.Decide(nil, b.refusal(mothferry.ReasonOverload))
+	}
+	b.grant()
+}
+
+// admit refuses at once what could not be served in time.
+func (b *Balancer) admit(t *Ticket) error {
+	now := b.Clock.Now()
+	if !b.anyUsable(now, t.Exclude) {
+		return b.refusal(mothferry.ReasonNoRunner)
+	}
+	if t.Retry {
+		if b.retries < 1 {
+			return b.refusal(mothferry.ReasonNoRunner)
+		}
+		b.retries--
+	}
+	if t.Again {
+		return nil
+	}
+	b.retries = min(b.retries+b.Limits.RetryRatio, retryBurst)
+	if b.queue.Held(t.Customer) >= b.document.InFlightLimit(t.Customer) {
+		return b.refusal(mothferry.ReasonCustomerLimit)
+	}
+	left := t.Deadline.Sub(now)
+	if left <= 0 {
+		return b.refusal(mothferry.ReasonDeadline)
+	}
+	ahead := b.queue.Ahead(t.Customer, t.Priority)
+	if ahead > 0 && float64(b.wait(ahead)) > b.Limits.WaitShare*float64(left) {
+		return b.refusal(mothferry.ReasonOverload)
+	}
+	return nil
+}
+
+// Cancel gives up a ticket that still waits, and reports whether it did.
+func (b *Balancer) Cancel(t *Ticket) bool {
+	return t.waiter != nil && b.queue.Remove(t.waiter)
+}
+
+// Release ends a lease.
+func (b *Balancer) Release(l *Lease, result Result) {
+	now := b.Clock.Now()
+	r := l.runner
+	r.inFlight--
+	if l.Borrowed {
+		b.borrowed--
+	}
+	if r.inFlight == 0 {
+		delete(b.departed, r)
+	}
+	b.queue.Finish(l.customer)
+	if result == ResultAnswered {
+		b.mean += meanWeight * (float64(now.Sub(l.granted)) - b.mean)
+	}
+	if l.Borrowed && result == ResultBusy {
+		// The counts were stale: what is believed idle is not.
+		b.credit = b.borrowed
+	}
+	r.note(result, now, b.Random)
+	b.capEjections(now)
+	b.grant()
+}
+
+// Wake grants what time alone has made possible, such as the end of an ejection.
+func (b *Balancer) Wake() { b.grant() }
+
+// Stop refuses everything that waits.
+func (b *Balancer) Stop() {
+	all := func(*mfadmit.Waiter[*Ticket]) bool { return true }
+	for _, w := range b.queue.RemoveIf(all) {
+		w.Value.Decide(nil, b.refusal(mothferry.ReasonStopping))
+	}
+}
+
+// grant gives free slots to waiting requests.
+func (b *Balancer) grant() {
+	for b.queue.Len() > 0 {
+		now := b.Clock.Now()
+		var chosen *runner
+		var borrowed bool
+		w := b.queue.Pop(func(w *mfadmit.Waiter[*Ticket]) bool {
+			chosen, borrowed = b.choose(now, w.Value.Exclude)
+			return chosen != nil
+		})
+		if w == nil {
+			break
+		}
+		b.lease(w.Value, chosen, borrowed, now)
+	}
+	b.giveUp()
+}
+
+func (b *Balancer) lease(t *Ticket, r *runner, borrowed bool, now time.Time) {
+	r.inFlight++
+	if borrowed {
+		b.borrowed++
+	}
+	t.Decide(&Lease{
+		Task: r.placed.Task, Address: r.placed.Address, Connections: r.placed.Connections,
+		Borrowed: borrowed, runner: r, customer: t.Customer, granted: now,
+	}, nil)
+}
+
+// giveUp refuses at once the waiting requests that no runner is left for.
+func (b *Balancer) giveUp() {
+	if b.queue.Len() == 0 {
+		return
+	}
+	now := b.Clock.Now()
+	stranded := func(w *mfadmit.Waiter[*Ticket]) bool { return !b.anyUsable(now, w.Value.Exclude) }
+	for _, w := range b.queue.RemoveIf(stranded) {
+		w.Value.Decide(nil, b.refusal(mothferry.ReasonNoRunner))
+	}
+}
+
+// choose returns the runner with the most room within this daemon's shares,
+// else one to borrow a slot from, else nil. Ties are broken at random, since
+// a fixed order would load the first runners more.
+func (b *Balancer) choose(now time.Time, exclude map[mothferry.TaskID]bool) (*runner, bool) {
+	best := b.most(func(r *runner) int {
+		if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) {
+			return 0
+		}
+		return r.free()
+	})
+	if best != nil {
+		return best, false
+	}
+	if !b.Limits.Borrow || b.borrowed >= b.credit {
+		return nil, false
+	}
+	best = b.most(func(r *runner) int {
+		if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) || r.inFlight >= min(r.window, r.connections) {
+			return 0
+		}
+		return r.spare()
+	})
+	return best, best != nil
+}
+
+// most returns a runner with the highest room above 0.
+func (b *Balancer) most(room func(*runner) int) *runner {
+	var best *runner
+	highest, ties := 0, 0
+	for _, r := range b.runners {
+		n := room(r)
+		switch {
+		case n <= 0 || n < highest:
+		case n > highest:
+			best, highest, ties = r, n, 1
+		default:
+			ties++
+			if b.Random.IntN(ties) == 0 {
+				best = r
+			}
+		}
+	}
+	return best
+}
+
+// capEjections lets the runner with the least time left return while too many
+// are ejected. If most runners fail together the cause is rarely the runners,
+// and with none left every request would be refused.
+func (b *Balancer) capEjections(now time.Time) {
+	var ejected []*runner
+	for _, r := range b.runners {
+		if now.Before(r.ejectedUntil) {
+			ejected = append(ejected, r)
+		}
+	}
+	allowed := int(b.Limits.EjectShare * float64(len(b.runners)))
+	sort.SliceStable(ejected, func(i, j int) bool { return ejected[i].ejectedUntil.Before(ejected[j].ejectedUntil) })
+	for i := 0; i < len(ejected)-allowed; i++ {
+		ejected[i].ejectedUntil = now
+	}
+}
+
+func (b *Balancer) anyUsable(now time.Time, exclude map[mothferry.TaskID]bool) bool {
+	for _, r := range b.runners {
+		if r.usable(now) && !exclude[r.placed.Task] {
+			return true
+		}
+	}
+	return false
+}
+
+// wait estimates how long it takes to start what is ahead.
+func (b *Balancer) wait(ahead int) time.Duration {
+	return time.Duration(float64(ahead+1) * b.mean / float64(max(b.capacity(), 1)))
+}
+
+// capacity is how many requests this daemon can have in work at once.
+func (b *Balancer) capacity() int {
+	now := b.Clock.Now()
+	total := b.borrowed
+	for _, r := range b.runners {
+		if r.usable(now) {
+			total += r.share
+		}
+	}
+	return total
+}
+
+// refusal makes an ErrNotRun with a time to come back: when the present
+// backlog should be gone, spread over twice that time so that refused callers
+// do not return together.
+func (b *Balancer) refusal(reason mothferry.Reason) *mothferry.ErrNotRun {
+	backlog := max(b.wait(b.queue.Len()), minRetryAfter)
+	spread := time.Duration(float64(backlog) * (1 + b.Random.Float64()))
+	return &mothferry.ErrNotRun{Reason: reason, RetryAfter: min(spread, maxRetryAfter)}
+}
+
+// Use returns what this daemon tells its peers of the service.
+func (b *Balancer) Use() (free int, use PeerUse) {
+	now := b.Clock.Now()
+	use.Queued = b.queue.Len()
+	for _, r := range b.runners {
+		use.InFlight = append(use.InFlight, r.inFlight)
+		if r.usable(now) {
+			free += max(r.share-r.inFlight, 0)
+		}
+	}
+	return max(free-use.Queued, 0), use
+}
+
+// InFlightLeaving returns the requests in flight at runners of a pool that
+// get no new ones: leaving, stopping, or no longer placed.
+func (b *Balancer) InFlightLeaving(pool map[mothferry.TaskID]bool) int {
+	count := 0
+	for _, r := range b.runners {
+		if pool[r.placed.Task] && r.placed.State != mfplacement.StateServing {
+			count += r.inFlight
+		}
+	}
+	for r := range b.departed {
+		count += r.inFlight
+	}
+	return count
+}
--- /dev/null
+++ b/units.go
@@ -0,0 +1,45 @@
+package mothferry
+
+// Millicores is processor capacity in thousandths of a core.
+type Millicores int64
+
+// Bytes is an amount of memory or data.
+type Bytes int64
+
+// Accelerators counts accelerator devices.
+type Accelerators int64
+
+// Slots counts requests that a runner works on at the same time.
+type Slots int
+
+// Connections counts open transport connections to one runner.
+type Connections int
+
+// Common sizes.
+const (
+	Kibibyte Bytes = 1 << 10
+	Mebibyte Bytes = 1 << 20
+	Gibibyte Bytes = 1 << 30
+)
+
+// Resources is what a runner needs or a worker has.
+type Resources struct {
+	Cores        Millicores   `json:"cores"`
+	Memory       Bytes        `json:"memory"`
+	Accelerators Accelerators `json:"accelerators"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{Cores: r.Cores + o.Cores, Memory: r.Memory + o.Memory, Accelerators: r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{Cores: r.Cores - o.Cores, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether a demand of r fits into free.
+func (r Resources) Fits(free Resources) bool {
+	return r.Cores <= free.Cores && r.Memory <= free.Memory && r.Accelerators <= free.Accelerators
+}
