--- a/mfdocument/document.go
+++ b/mfdocument/document.go
@@ -86,7 +86,7 @@
 	// Deadline holds for a request that states no shorter one.
 	Deadline time.Duration `yaml:"deadline" json:"deadline"`
 	// Repeatable lists the requests that may run more than once.
-	Repeatable []Repeatable `yaml:"repeatable" json:"repeatable"`
+	Repeatable []Repeatable `yaml:"repeatable,omitempty" json:"repeatable,omitempty"`
 }
 
 // Repeatable matches requests by method and path prefix.
@@ -100,7 +100,7 @@
 	// InFlight bounds one customer's requests in work or waiting at one entry host.
 	InFlight int `yaml:"in_flight" json:"in_flight"`
 	// Named overrides InFlight for single customers.
-	Named map[mothferry.CustomerID]int `yaml:"named" json:"named"`
+	Named map[mothferry.CustomerID]int `yaml:"named,omitempty" json:"named,omitempty"`
 }
 
 // Cores is processor capacity, written as a number of cores such as 0.5.
--- a/mfentry/handler.go
+++ b/mfentry/handler.go
@@ -88,6 +88,12 @@
 		h.endWithout(w, r, q, began, err)
 		return
 	}
+	if !q.held() {
+		// An upstream may answer before it has read the whole body. Without
+		// this, net/http's server would take the rest of the body away from
+		// the attempt as soon as the answer's first byte is written.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	if q.key != "" && q.hops == 0 {
