Prove a request's one end against net/http's silent replay and cut exchanges

Cause: net/http's Transport sends a request again by itself on a reused connection if it has no body and a safe method, or carries Idempotency-Key or X-Idempotency-Key. With the guards all nine run once and end as unknown.

Ruled out: an own connection pool, which would have to redo what Transport does well. The seal stays, shown by a test of its own that fails without it, since nothing promises that order.

A runner that closes a connection opened for the request counts against its health, one that closes an idle connection does not.

--- a/mfentry/attempt.go
+++ b/mfentry/attempt.go
@@ -60,7 +60,7 @@
 
 // classify turns a transport's error into a failure.
 func classify(ctx context.Context, seen *evidence, err error) *failure {
-	picked := seen.pickedAny()
+	picked, fresh := seen.connections()
 	f := &failure{notRun: provesNotRun(seen.nothingSent(), nil), err: err, reason: mothferry.ReasonConnectionLost, result: mfroute.ResultLost}
 	switch {
 	case ctx.Err() != nil:
@@ -78,7 +78,7 @@
 		}
 	case !picked:
 		f.result, f.reason = mfroute.ResultConnectFailed, mothferry.ReasonConnect
-	case f.notRun:
+	case f.notRun && !fresh:
 		// A kept-alive connection that the runner had closed: says nothing
 		// of the runner's health, as runners close idle connections.
 		f.result = mfroute.ResultNeutral
@@ -86,10 +86,12 @@
 	return f
 }
 
-func (e *evidence) pickedAny() bool {
+// connections reports whether a connection was picked, and whether the last
+// one was opened for this request.
+func (e *evidence) connections() (picked, fresh bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return len(e.marks) > 0
+	return len(e.marks) > 0, e.fresh
 }
 
 // isOwnNetwork reports errors of this host's own network or descriptors. They
--- a/mfentry/connection.go
+++ b/mfentry/connection.go
@@ -12,8 +12,10 @@
 
 // connection counts what was written to an upstream, and can be sealed
 // against further writes. Both together prove that no byte of a request was
-// sent: without the seal, the transport's write loop could still send the
-// request after its caller has been told that it did not run.
+// sent, and that none will be: the transport's write loop is another goroutine
+// and could otherwise send the request after its caller was told that it did
+// not run. net/http of go1.26 happens to close the connection before its
+// RoundTrip returns an error; the seal does not depend on that.
 type connection struct {
 	net.Conn
 	mutex   sync.Mutex
@@ -60,6 +62,8 @@
 type evidence struct {
 	mutex sync.Mutex
 	marks []mark
+	// fresh tells that the last connection was opened for this request.
+	fresh bool
 	// closed refuses connections that the transport picks after the verdict.
 	closed bool
 }
@@ -72,11 +76,11 @@
 // trace returns ctx with the hooks that feed e.
 func (e *evidence) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { e.picked(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) { e.picked(info.Conn, !info.Reused) },
 	})
 }
 
-func (e *evidence) picked(n net.Conn) {
+func (e *evidence) picked(n net.Conn, fresh bool) {
 	c, ok := n.(*connection)
 	if !ok {
 		return
@@ -88,6 +92,7 @@
 		_ = c.Close()
 		return
 	}
+	e.fresh = fresh
 	e.marks = append(e.marks, mark{connection: c, written: c.count()})
 }
 
--- a/mfentry/handler.go
+++ b/mfentry/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -85,6 +86,7 @@
 	}
 	q, err := h.parse(r)
 	if err != nil {
+		drain(r)
 		h.endWithout(w, r, q, began, err)
 		return
 	}
@@ -108,6 +110,18 @@
 	h.send(ctx, w, q, a, began)
 }
 
+// drainBytes bounds what is read of a body that nobody will use.
+const drainBytes = 256 << 10
+
+// drain reads the rest of a refused request's body. Closing the connection
+// while the caller still sends resets it, and the caller may then lose the
+// answer that tells why. A caller that waits for 100 Continue sends nothing.
+func drain(r *http.Request) {
+	if r.Header.Get("Expect") == "" {
+		_, _ = io.CopyN(io.Discard, r.Body, drainBytes)
+	}
+}
+
 // serveKeyed runs a request under the ledger's claim of its key. A caller who
 // leaves does not end the run: the answer is recorded for its repeat.
 func (h *Handler) serveKeyed(ctx context.Context, w http.ResponseWriter, r *http.Request, q *request, began time.Time) {
--- /dev/null
+++ b/mfentry/handler_test.go
@@ -0,0 +1,493 @@
+package mfentry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mfdocument"
+	"mothferry/mffake"
+	"mothferry/mfledger"
+	"mothferry/mflog"
+	"mothferry/mfpeer"
+	"mothferry/mfroute"
+	"mothferry/mfsnapshot"
+)
+
+// upstreams is a Router that hands out the runners of a test in turn.
+type upstreams struct {
+	mutex     sync.Mutex
+	addresses []string
+	next      int
+	results   []mfroute.Result
+	out       int
+}
+
+func (u *upstreams) Acquire(ctx context.Context, _ mothferry.ServiceID, q mfroute.Request) (*mfroute.Lease, error) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	for range u.addresses {
+		i := u.next % len(u.addresses)
+		u.next++
+		task := mothferry.TaskID(fmt.Sprint("runner-", i))
+		if !q.Exclude[task] && ctx.Err() == nil {
+			u.out++
+			return &mfroute.Lease{Task: task, Address: u.addresses[i], Connections: 64}, nil
+		}
+	}
+	return nil, &mothferry.ErrNotRun{Reason: mothferry.ReasonNoRunner}
+}
+
+func (u *upstreams) Release(_ mothferry.ServiceID, _ *mfroute.Lease, r mfroute.Result) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.results = append(u.results, r)
+	u.out--
+}
+
+// ends is an Observer that remembers.
+type ends struct{ count atomic.Int64 }
+
+func (e *ends) Ended(mothferry.ServiceID, mothferry.End, mothferry.Reason, time.Duration) {
+	e.count.Add(1)
+}
+
+type noMesh struct{}
+
+func (noMesh) Live(time.Duration) []mfpeer.State { return nil }
+func (noMesh) DialSpill(context.Context, mothferry.DaemonID, int) (net.Conn, error) {
+	return nil, errors.New("no peers here")
+}
+
+// entry serves a handler whose service "s" runs at the given addresses.
+// GET requests under /safe may be repeated.
+func entry(t testing.TB, addresses ...string) (*Handler, *upstreams, string) {
+	t.Helper()
+	store := mfsnapshot.NewStore()
+	d := mfdocument.Default()
+	d.Service = "s"
+	d.Requests.Deadline = time.Minute
+	d.Requests.Repeatable = []mfdocument.Repeatable{{Methods: []string{"GET"}, Path: "/safe"}}
+	store.AdoptDelta(mfsnapshot.Delta{Revision: 1, Records: []mfdocument.Record{{Document: d, Revision: 1}}})
+	router := &upstreams{addresses: addresses}
+	h := &Handler{
+		DataCentre: "dc1", Store: store, Router: router, Mesh: noMesh{}, Transports: &Transports{Connect: time.Minute, HeaderBytes: 1 << 16},
+		Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Observer: &ends{}, Log: mflog.Discard(),
+		NewToken:    func() mothferry.Token { return "generated" },
+		BufferBytes: 64 << 10, BodyBytes: 1 << 20, EntryHosts: 1, PeerBound: time.Second,
+	}
+	ledger := &mfledger.Ledger{
+		Table: mffake.NewTable(mfclock.System{}), Clock: mfclock.System{}, Keep: time.Hour, RecordBytes: 1 << 10,
+		NewToken: func() mothferry.Token { return mothferry.Token(rand.Text()) }, Log: mflog.Discard(),
+	}
+	ledger.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = ledger.Run(ctx) }()
+	h.Ledger = ledger
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return h, router, server.URL
+}
+
+// scripted listens and hands each connection to script.
+func scripted(t testing.TB, script func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(c)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads one whole request and returns its id.
+func readRequest(r *bufio.Reader) (mothferry.RequestID, error) {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	if _, err := io.Copy(io.Discard, q.Body); err != nil {
+		return "", err
+	}
+	return mothferry.RequestID(q.Header.Get(mothferry.HeaderRequestID)), nil
+}
+
+// do sends one request on a connection of its own.
+func do(t testing.TB, method, url, body string, header map[string]string) (*http.Response, []byte, error) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	for k, v := range header {
+		request.Header.Set(k, v)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, data, err
+}
+
+// TestNoSilentReplay: symptom, an order runs twice though it was sent once.
+// Sequence: the runner takes the second request of a kept-alive connection,
+// runs it and closes the connection without an answer. Cause: net/http's
+// Transport takes requests without a body and a safe method, or with an
+// Idempotency-Key, for replayable and sends them again on a new connection.
+func TestNoSilentReplay(t *testing.T) {
+	for _, k := range []struct {
+		name, method, body string
+		header             map[string]string
+	}{
+		{"body", "POST", "order", nil},
+		{"body and key", "POST", "order", map[string]string{"Idempotency-Key": "k", "Mothferry-Customer": "c"}},
+		{"no body and key", "POST", "", map[string]string{"Idempotency-Key": "k", "Mothferry-Customer": "c"}},
+		{"other key", "POST", "", map[string]string{"X-Idempotency-Key": "k"}},
+		{"GET that may not be repeated", "GET", "", nil},
+		{"HEAD that may not be repeated", "HEAD", "", nil},
+		{"OPTIONS", "OPTIONS", "", nil},
+		{"TRACE", "TRACE", "", nil},
+		{"DELETE", "DELETE", "", nil},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			var ran atomic.Int64
+			address := scripted(t, func(c net.Conn) {
+				reader := bufio.NewReader(c)
+				if _, err := readRequest(reader); err != nil {
+					return
+				}
+				_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				if _, err := readRequest(reader); err == nil {
+					ran.Add(1)
+				}
+			})
+			_, _, url := entry(t, address)
+			_, _, err := do(t, "POST", url+"/s/warm", "", nil)
+			assert.NilError(t, err)
+			response, _, err := do(t, k.method, url+"/s/order", k.body, k.header)
+			assert.NilError(t, err)
+			assert.Equal(t, response.Header.Get(mothferry.HeaderEnd), string(mothferry.EndUnknown))
+			assert.Equal(t, ran.Load(), int64(1))
+		})
+	}
+}
+
+// TestUpstreamFaults cuts the exchange at each of its phases.
+func TestUpstreamFaults(t *testing.T) {
+	closed := scripted(t, func(c net.Conn) { _, _ = readRequest(bufio.NewReader(c)) })
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	_ = refusing.Close()
+	reply := func(text string) string {
+		return scripted(t, func(c net.Conn) {
+			reader := bufio.NewReader(c)
+			for {
+				if _, err := readRequest(reader); err != nil {
+					return
+				}
+				_, _ = c.Write([]byte(text))
+				if strings.Contains(text, "200 OK") || strings.HasPrefix(text, "hello") {
+					return
+				}
+			}
+		})
+	}
+	busy := reply("HTTP/1.1 503 Busy\r\nMothferry-Refused: busy\r\nContent-Length: 0\r\n\r\n")
+	leaving := reply("HTTP/1.1 503 Leaving\r\nMothferry-Refused: leaving\r\nContent-Length: 0\r\n\r\n")
+	good := reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	for _, k := range []struct {
+		name     string
+		upstream []string
+		method   string
+		path     string
+		status   int
+		end      mothferry.End
+		reason   mothferry.Reason
+		result   mfroute.Result
+	}{
+		{"connect refused", []string{refusing.Addr().String()}, "POST", "/x", 503, mothferry.EndNotRun, mothferry.ReasonConnect, mfroute.ResultConnectFailed},
+		{"connect refused, then another", []string{refusing.Addr().String(), good}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultConnectFailed},
+		{"cut after the request", []string{closed, good}, "POST", "/x", 502, mothferry.EndUnknown, mothferry.ReasonConnectionLost, mfroute.ResultLost},
+		{"cut, but may be repeated", []string{closed, good}, "GET", "/safe/x", 200, mothferry.EndAnswered, "", mfroute.ResultLost},
+		{"busy", []string{busy, good}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultBusy},
+		{"busy everywhere", []string{busy}, "POST", "/x", 503, mothferry.EndNotRun, mothferry.ReasonRefused, mfroute.ResultBusy},
+		{"leaving", []string{leaving, good}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultLeaving},
+		{"application's own 503", []string{reply("HTTP/1.1 503 Sorry\r\nContent-Length: 0\r\n\r\n"), good}, "POST", "/x", 503, mothferry.EndAnswered, "", mfroute.ResultAnswered},
+		{"not HTTP", []string{reply("hello\r\n\r\n")}, "POST", "/x", 502, mothferry.EndUnknown, mothferry.ReasonConnectionLost, mfroute.ResultLost},
+		{"body cut", []string{reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab")}, "POST", "/x", 502, mothferry.EndUnknown, mothferry.ReasonTruncated, mfroute.ResultLost},
+		{"chunks cut", []string{reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n")}, "POST", "/x", 502, mothferry.EndUnknown, mothferry.ReasonTruncated, mfroute.ResultLost},
+		{"no framing", []string{reply("HTTP/1.1 200 OK\r\n\r\nab")}, "POST", "/x", 502, mothferry.EndUnknown, mothferry.ReasonUnframed, mfroute.ResultAnswered},
+		{"forged end", []string{reply("HTTP/1.1 200 OK\r\nMothferry-End: not_run\r\nContent-Length: 0\r\n\r\n")}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultAnswered},
+		{"chunks with a trailer", []string{reply("HTTP/1.1 200 OK\r\nTrailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nSum: 7\r\n\r\n")}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultAnswered},
+		{"early hints", []string{reply("HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultAnswered},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			_, router, url := entry(t, k.upstream...)
+			response, _, err := do(t, k.method, url+"/s"+k.path, "body", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, k.status)
+			assert.Equal(t, mothferry.End(response.Header.Get(mothferry.HeaderEnd)), k.end)
+			assert.Equal(t, mothferry.Reason(response.Header.Get(mothferry.HeaderReason)), k.reason)
+			assert.Equal(t, router.results[0], k.result)
+			assert.Equal(t, router.out, 0, "slots were not given back")
+			if k.end == mothferry.EndNotRun {
+				assert.Assert(t, response.Header.Get("Retry-After") != "")
+			}
+		})
+	}
+}
+
+// TestCallerFaults gives each unservable request its clear end, before any
+// upstream sees it.
+func TestCallerFaults(t *testing.T) {
+	address := scripted(t, func(c net.Conn) {
+		_, _ = readRequest(bufio.NewReader(c))
+		t.Error("an upstream saw the request")
+	})
+	h, _, url := entry(t, address)
+	h.BodyBytes = 100 << 10
+	for _, k := range []struct {
+		name, method, path, body string
+		header                   map[string]string
+		status                   int
+		reason                   mothferry.Reason
+	}{
+		{"unknown service", "GET", "/other/x", "", nil, 404, mothferry.ReasonUnknownService},
+		{"no service", "GET", "/", "", nil, 404, mothferry.ReasonUnknownService},
+		{"upgrade", "GET", "/s/x", "", map[string]string{"Upgrade": "websocket", "Connection": "Upgrade"}, 501, mothferry.ReasonUpgrade},
+		{"bad timeout", "GET", "/s/x", "", map[string]string{"Mothferry-Timeout": "soon"}, 400, mothferry.ReasonBadRequest},
+		{"negative timeout", "GET", "/s/x", "", map[string]string{"Mothferry-Timeout": "-1s"}, 400, mothferry.ReasonBadRequest},
+		{"bad class", "GET", "/s/x", "", map[string]string{"Mothferry-Class": "vip"}, 400, mothferry.ReasonBadRequest},
+		{"key without customer", "POST", "/s/x", "", map[string]string{"Idempotency-Key": "k"}, 400, mothferry.ReasonBadRequest},
+		{"body over the limit", "POST", "/s/x", strings.Repeat("x", 150<<10), nil, 413, mothferry.ReasonTooLarge},
+		{"keyed body over the buffer", "POST", "/s/x", strings.Repeat("x", 65<<10), map[string]string{"Idempotency-Key": "k", "Mothferry-Customer": "c"}, 413, mothferry.ReasonTooLarge},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			response, _, err := do(t, k.method, url+k.path, k.body, k.header)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, k.status)
+			assert.Equal(t, mothferry.Reason(response.Header.Get(mothferry.HeaderReason)), k.reason)
+			assert.Equal(t, mothferry.End(response.Header.Get(mothferry.HeaderEnd)), mothferry.EndNotRun)
+		})
+	}
+	assert.Equal(t, h.InFlight(), int64(0))
+}
+
+// TestOwnWholeAnswer cuts the raw bytes of an answer at any point, for
+// answers of any size and framing, among concurrent requests. A caller must
+// see its own whole answer, or no answer: never a part, never another's.
+func TestOwnWholeAnswer(t *testing.T) {
+	type plan struct {
+		size    int
+		chunked bool
+		cut     int
+	}
+	var plans sync.Map
+	address := scripted(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			stored, _ := plans.Load(id)
+			p, _ := stored.(plan)
+			raw := rawAnswer(id, p.size, p.chunked)
+			if p.cut < len(raw) {
+				_, _ = c.Write(raw[:p.cut])
+				return
+			}
+			_, _ = c.Write(raw)
+		}
+	})
+	_, _, url := entry(t, address)
+	count := 0
+	mffake.Check(t, func(t *rapid.T) {
+		var group sync.WaitGroup
+		for range rapid.IntRange(1, 4).Draw(t, "concurrent") {
+			count++
+			id := mothferry.RequestID(fmt.Sprint("request-", count))
+			p := plan{size: rapid.IntRange(0, 200_000).Draw(t, "size"), chunked: rapid.Bool().Draw(t, "chunked")}
+			whole := len(rawAnswer(id, p.size, p.chunked))
+			p.cut = rapid.IntRange(0, 2*whole).Draw(t, "cut")
+			plans.Store(id, p)
+			group.Go(func() {
+				response, body, err := send(url, id)
+				switch {
+				case err != nil:
+					assert.Check(t, p.cut < whole, "failed though the answer was whole: %v", err)
+				case response.Header.Get(mothferry.HeaderEnd) == string(mothferry.EndAnswered):
+					assert.Check(t, bytes.Equal(body, content(id, p.size)), "not its own whole answer: %d of %d bytes", len(body), p.size)
+					assert.Check(t, p.cut >= whole)
+				default:
+					assert.Check(t, p.cut < whole)
+				}
+			})
+		}
+		group.Wait()
+	})
+}
+
+func send(url string, id mothferry.RequestID) (*http.Response, []byte, error) {
+	request, err := http.NewRequest(http.MethodPost, url+"/s/x", strings.NewReader("b"))
+	if err != nil {
+		return nil, nil, err
+	}
+	request.Header.Set(mothferry.HeaderRequestID, string(id))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
+
+func content(id mothferry.RequestID, size int) []byte {
+	return bytes.Repeat([]byte(id), size/len(id)+1)[:size]
+}
+
+func rawAnswer(id mothferry.RequestID, size int, chunked bool) []byte {
+	var out bytes.Buffer
+	body := content(id, size)
+	if !chunked {
+		fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, body)
+		return out.Bytes()
+	}
+	fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for len(body) > 0 {
+		n := min(len(body), 9000)
+		fmt.Fprintf(&out, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	fmt.Fprintf(&out, "0\r\n\r\n")
+	return out.Bytes()
+}
+
+// TestSealStopsLateWrites: symptom, a caller is told "not run" and the request
+// runs all the same. Sequence: the transport picks a connection, the deadline
+// passes, the verdict is that nothing was written, and only then the
+// transport's write loop sends the request. Cause: the loop is another
+// goroutine, and nothing but the seal ties it to the verdict.
+func TestSealStopsLateWrites(t *testing.T) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	c := &connection{Conn: near}
+	_, err := c.Write([]byte("an earlier request"))
+	assert.NilError(t, err)
+	var seen evidence
+	seen.picked(c, false)
+	assert.Assert(t, seen.nothingSent())
+	_, err = c.Write([]byte("late"))
+	assert.ErrorIs(t, err, errSealed)
+
+	late := &connection{Conn: near}
+	seen.picked(late, false)
+	_, err = late.Write([]byte("picked after the verdict"))
+	assert.ErrorIs(t, err, errSealed)
+
+	var sent evidence
+	used := &connection{Conn: far}
+	sent.picked(used, false)
+	_, _ = used.Write([]byte("x"))
+	assert.Assert(t, !sent.nothingSent())
+}
+
+// TestNotRunIsTrue gives requests deadlines that pass at any moment around
+// connecting and sending, and compares "not run" with what the runner saw.
+func TestNotRunIsTrue(t *testing.T) {
+	var seen sync.Map
+	address := scripted(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			id, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			seen.Store(id, true)
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	_, _, url := entry(t, address)
+	var notRun sync.Map
+	var group sync.WaitGroup
+	count := atomic.Int64{}
+	for w := range 8 {
+		group.Go(func() {
+			for i := range 300 {
+				id := fmt.Sprint("request-", w, "-", i)
+				timeout := time.Duration(1+(i*37+w*11)%400) * time.Microsecond
+				response, _, err := do(t, "POST", url+"/s/x", "b", map[string]string{mothferry.HeaderRequestID: id, mothferry.HeaderTimeout: timeout.String()})
+				if err == nil && response.Header.Get(mothferry.HeaderEnd) == string(mothferry.EndNotRun) {
+					notRun.Store(mothferry.RequestID(id), true)
+					count.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	notRun.Range(func(id, _ any) bool {
+		_, ran := seen.Load(id)
+		assert.Check(t, !ran, "%s ran in spite of not_run", id)
+		return true
+	})
+	t.Logf("%d of 2400 requests ended as not run", count.Load())
+}
+
+// TestStreamedBodyIsSentOnce: a body too large to hold goes to one upstream
+// only, and is refused once it is over the limit.
+func TestStreamedBodyIsSentOnce(t *testing.T) {
+	var bytesSeen atomic.Int64
+	good := scripted(t, func(c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, q.Body)
+		bytesSeen.Add(n)
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	})
+	closing := scripted(t, func(c net.Conn) { _, _ = io.CopyN(io.Discard, c, 100_000) })
+	body := strings.Repeat("x", 500_000)
+	_, _, url := entry(t, good)
+	response, _, err := do(t, "POST", url+"/s/x", body, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Header.Get(mothferry.HeaderEnd), string(mothferry.EndAnswered))
+	assert.Equal(t, bytesSeen.Load(), int64(len(body)))
+
+	_, router, url := entry(t, closing, good)
+	response, _, err = do(t, "GET", url+"/s/safe/x", body, nil)
+	if err == nil {
+		assert.Equal(t, response.Header.Get(mothferry.HeaderEnd), string(mothferry.EndUnknown))
+	}
+	assert.Equal(t, len(router.results), 1)
+}
