Share runners' slots by demand, borrow what is idle, bound the queue by load

Found by the property test: the queue looks at several requests before it takes one, and the runner chosen for the last one looked at was given to the one taken: a request could go to a runner it excludes, or the daemon failed on a nil runner. The runner is now chosen for the request that was taken.

--- a/mfdaemon/daemon.go
+++ b/mfdaemon/daemon.go
@@ -43,8 +43,11 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long a caller's unused connection is kept.
 	idleTimeout = 2 * time.Minute
-	// waitShare is the part of a request's time that it may be expected to wait in the queue.
-	waitShare = 0.2
+	// waitShare is the part of a request's time that it may be expected to wait
+	// in the queue, and overloadShare the same under overload; docs/design/routing.md
+	// has the figures behind both.
+	waitShare     = 0.12
+	overloadShare = 0.035
 	// stopGrace is added to the longest deadline in force when a daemon stops.
 	stopGrace = 2 * time.Second
 )
@@ -177,7 +180,7 @@
 	d.router = &mfroute.Router{
 		Self: s.Daemon, DataCentre: s.DataCentre, Clock: d.Clock, Random: d.Random,
 		Limits: mfroute.Limits{
-			Queue: s.Limits.Queue, WaitShare: waitShare, EjectShare: s.Limits.EjectShare,
+			Queue: s.Limits.Queue, WaitShare: waitShare, OverloadShare: overloadShare, EjectShare: s.Limits.EjectShare,
 			RetryRatio: s.Limits.RetryRatio, Borrow: true,
 		},
 		Store: d.store, Peers: d.mesh, EntryHosts: s.EntryHosts(), Heartbeat: s.Timing.Heartbeat,
--- a/mfpeer/status.go
+++ b/mfpeer/status.go
@@ -36,10 +36,15 @@
 type ServiceStatus struct {
 	Free   int
 	Queued int
+	// Demand is the number of slots that its callers would keep busy.
+	Demand float64
 	// InFlight counts its requests at each runner, by the runners' task ids in order.
 	InFlight []int
 }
 
+// millis is the factor between a number and its thousandths on the wire.
+const millis = 1000
+
 func (s Status) wire() *mfwire.Status {
 	out := &mfwire.Status{Incarnation: s.Incarnation, Revision: uint64(s.Revision), Stopping: s.Stopping}
 	for pool, k := range s.Shards {
@@ -48,7 +53,7 @@
 		})
 	}
 	for service, k := range s.Services {
-		status := &mfwire.ServiceStatus{Service: string(service), Free: uint32(k.Free), Queued: uint32(k.Queued)}
+		status := &mfwire.ServiceStatus{Service: string(service), Free: uint32(k.Free), Queued: uint32(k.Queued), DemandMillis: uint32(k.Demand * millis)}
 		for _, n := range k.InFlight {
 			status.InFlight = append(status.InFlight, uint32(n))
 		}
@@ -71,7 +76,7 @@
 		}
 	}
 	for _, k := range w.GetServices() {
-		status := ServiceStatus{Free: int(k.GetFree()), Queued: int(k.GetQueued())}
+		status := ServiceStatus{Free: int(k.GetFree()), Queued: int(k.GetQueued()), Demand: float64(k.GetDemandMillis()) / millis}
 		for _, n := range k.GetInFlight() {
 			status.InFlight = append(status.InFlight, int(n))
 		}
@@ -93,7 +98,7 @@
 	}
 	for service, k := range s.Services {
 		other, ok := o.Services[service]
-		if !ok || other.Free != k.Free || other.Queued != k.Queued || !slices.Equal(other.InFlight, k.InFlight) {
+		if !ok || other.Free != k.Free || other.Queued != k.Queued || other.Demand != k.Demand || !slices.Equal(other.InFlight, k.InFlight) {
 			return false
 		}
 	}
--- a/mfroute/balancer.go
+++ b/mfroute/balancer.go
@@ -6,6 +6,7 @@
 package mfroute
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -22,6 +23,9 @@
 	// WaitShare is the largest part of a request's remaining time that it may
 	// be expected to wait; above it the request is refused at once.
 	WaitShare float64
+	// OverloadShare takes the place of WaitShare while callers ask for more
+	// than the runners have.
+	OverloadShare float64
 	// EjectShare is the largest part of the runners that may be ejected at once.
 	EjectShare float64
 	// RetryRatio is the number of second tries allowed for each first try.
@@ -62,8 +66,11 @@
 	granted  time.Time
 }
 
-// PeerUse is what another daemon of the data centre last said of the service.
+// PeerUse is what a daemon of the data centre tells the others of a service.
 type PeerUse struct {
+	Daemon mothferry.DaemonID
+	// Demand is the number of slots that its callers' requests would keep busy.
+	Demand float64
 	Queued int
 	// InFlight counts its requests by the runners' task ids in order.
 	InFlight []int
@@ -76,6 +83,23 @@
 	meanWeight  = 0.05
 )
 
+// Demand: the span of its moving average, and the part of the mean weight that
+// each member has whatever its demand.
+const (
+	demandSpan = time.Second
+	baseWeight = 0.1
+)
+
+// overloadFactor is how far demand must exceed the runners' slots to count as
+// overload. Below it the excess is within the noise of the average.
+const overloadFactor = 1.1
+
+// toldStep is how far, relatively, the demand must have moved for the peers to
+// be told anew. Most heartbeats then repeat the old figure, and all members
+// divide the slots by the same weights; weights that differ a little at each
+// member make shares overlap on some runners and leave slots unused on others.
+const toldStep = 0.15
+
 // Retry budget: its largest balance, which is also what it starts with.
 const retryBurst = 10
 
@@ -104,6 +128,17 @@
 	// credit bounds the borrowed slots, and borrowed counts them.
 	credit   int
 	borrowed int
+	// members share the runners; weights are what they last said of their demand.
+	members []mothferry.DaemonID
+	weights map[mothferry.DaemonID]float64
+	// demand is the moving average of this daemon's demand, arrived the
+	// requests since measured, and told what the peers were last told.
+	demand   float64
+	told     float64
+	arrived  int
+	measured time.Time
+	// overloaded tells that the callers of all members ask for more than the runners have.
+	overloaded bool
 }
 
 // Update takes over a new document, placement or membership of the data centre.
@@ -112,7 +147,9 @@
 		b.departed = map[*runner]bool{}
 		b.mean = float64(initialMean)
 		b.retries = retryBurst
+		b.measured = b.Clock.Now()
 	}
+	b.members = members
 	b.document = d
 	b.queue.Limit = b.Limits.Queue
 	known := map[mothferry.TaskID]*runner{}
@@ -127,7 +164,6 @@
 		}
 		delete(known, p.Task)
 		r.placed = p
-		r.share = Share(p.Task, p.Slots, members, b.Self)
 		r.connections = max(int(p.Connections)/max(len(members), 1), 1)
 		b.runners = append(b.runners, r)
 	}
@@ -137,9 +173,44 @@
 		}
 	}
 	sort.Slice(b.runners, func(i, j int) bool { return b.runners[i].placed.Task < b.runners[j].placed.Task })
+	b.divide()
 	b.grant()
 }
 
+// divide works out this daemon's share of each runner. A member's weight is
+// its demand and a part that it has whatever its demand, so that one whose
+// callers wake does not begin with nothing.
+func (b *Balancer) divide() {
+	weights := map[mothferry.DaemonID]float64{}
+	total := 0.0
+	for _, m := range b.members {
+		total += b.weights[m]
+	}
+	base := max(total*baseWeight/float64(max(len(b.members), 1)), 1)
+	for _, m := range b.members {
+		weights[m] = b.weights[m] + base
+	}
+	var slots []mothferry.Slots
+	for _, r := range b.runners {
+		slots = append(slots, r.placed.Slots)
+	}
+	for i, n := range Shares(slots, weights, b.Self) {
+		b.runners[i].share = n
+	}
+}
+
+// measure brings the demand's moving average up to now.
+func (b *Balancer) measure(now time.Time) {
+	span := now.Sub(b.measured)
+	if span <= 0 {
+		return
+	}
+	current := float64(b.arrived) * b.mean / float64(span)
+	part := 1 - math.Exp(-float64(span)/float64(demandSpan))
+	b.demand += part * (current - b.demand)
+	b.arrived, b.measured = 0, now
+}
+
 // Heard takes over what the other daemons of the data centre last said, and
 // works out how many of their idle slots this daemon may borrow.
 //
@@ -148,12 +219,16 @@
 // the same parts, so that stale counts do not make all of them run for the
 // same slots at once.
 func (b *Balancer) Heard(peers []PeerUse) {
+	now := b.Clock.Now()
+	b.measure(now)
+	b.weights = map[mothferry.DaemonID]float64{b.Self: b.told}
 	waiting := b.queue.Len()
 	for _, r := range b.runners {
 		r.others = 0
 	}
 	for _, p := range peers {
 		waiting += p.Queued
+		b.weights[p.Daemon] = p.Demand
 		if len(p.InFlight) != len(b.runners) {
 			continue
 		}
@@ -161,13 +236,18 @@
 			r.others += p.InFlight[i]
 		}
 	}
-	idle := 0
-	now := b.Clock.Now()
+	b.divide()
+	idle, slots, demand := 0, 0, 0.0
+	for _, m := range b.members {
+		demand += b.weights[m]
+	}
 	for _, r := range b.runners {
 		if r.usable(now) {
+			slots += int(r.placed.Slots)
 			idle += max(r.spare()-max(r.free(), 0), 0)
 		}
 	}
+	b.overloaded = demand > overloadFactor*float64(slots)
 	b.credit = b.borrowed
 	if waiting > 0 {
 		b.credit += (idle*b.queue.Len() + waiting - 1) / waiting
@@ -203,6 +283,7 @@
 	if t.Again {
 		return nil
 	}
+	b.arrived++
 	b.retries = min(b.retries+b.Limits.RetryRatio, retryBurst)
 	if b.queue.Held(t.Customer) >= b.document.InFlightLimit(t.Customer) {
 		return b.refusal(mothferry.ReasonCustomerLimit)
@@ -212,12 +293,22 @@
 		return b.refusal(mothferry.ReasonDeadline)
 	}
 	ahead := b.queue.Ahead(t.Customer, t.Priority)
-	if ahead > 0 && float64(b.wait(ahead)) > b.Limits.WaitShare*float64(left) {
+	if ahead > 0 && float64(b.wait(ahead)) > b.waitShare()*float64(left) {
 		return b.refusal(mothferry.ReasonOverload)
 	}
 	return nil
 }
 
+// waitShare returns the part of its time that a request may be expected to
+// wait. Under overload the queue never empties: its length then only adds to
+// everybody's time without one request more being answered.
+func (b *Balancer) waitShare() float64 {
+	if b.overloaded {
+		return b.Limits.OverloadShare
+	}
+	return b.Limits.WaitShare
+}
+
 // Cancel gives up a ticket that still waits, and reports whether it did.
 func (b *Balancer) Cancel(t *Ticket) bool {
 	return t.waiter != nil && b.queue.Remove(t.waiter)
@@ -262,15 +353,14 @@
 func (b *Balancer) grant() {
 	for b.queue.Len() > 0 {
 		now := b.Clock.Now()
-		var chosen *runner
-		var borrowed bool
-		w := b.queue.Pop(func(w *mfadmit.Waiter[*Ticket]) bool {
-			chosen, borrowed = b.choose(now, w.Value.Exclude)
-			return chosen != nil
-		})
+		w := b.queue.Pop(func(w *mfadmit.Waiter[*Ticket]) bool { return b.anyRoom(now, w.Value.Exclude) })
 		if w == nil {
 			break
 		}
+		// The runner is chosen for the request that was taken out. The queue
+		// looks at several requests before it decides on one, and a runner
+		// that fits another may be one that this one excludes.
+		chosen, borrowed := b.choose(now, w.Value.Exclude)
 		b.lease(w.Value, chosen, borrowed, now)
 	}
 	b.giveUp()
@@ -303,27 +393,29 @@
 // else one to borrow a slot from, else nil. Ties are broken at random, since
 // a fixed order would load the first runners more.
 func (b *Balancer) choose(now time.Time, exclude map[mothferry.TaskID]bool) (*runner, bool) {
-	best := b.most(func(r *runner) int {
-		if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) {
-			return 0
-		}
-		return r.free()
-	})
-	if best != nil {
+	best := b.most(func(r *runner) int { return r.ownRoom(now, exclude) })
+	if best != nil || !b.mayBorrow() {
 		return best, false
 	}
-	if !b.Limits.Borrow || b.borrowed >= b.credit {
-		return nil, false
-	}
-	best = b.most(func(r *runner) int {
-		if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) || r.inFlight >= min(r.window, r.connections) {
-			return 0
-		}
-		return r.spare()
-	})
+	best = b.most(func(r *runner) int { return r.borrowRoom(now, exclude) })
 	return best, best != nil
 }
 
+// anyRoom reports whether choose would return a runner.
+func (b *Balancer) anyRoom(now time.Time, exclude map[mothferry.TaskID]bool) bool {
+	borrow := b.mayBorrow()
+	for _, r := range b.runners {
+		if r.ownRoom(now, exclude) > 0 || borrow && r.borrowRoom(now, exclude) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) mayBorrow() bool {
+	return b.Limits.Borrow && b.borrowed < b.credit
+}
+
 // most returns a runner with the highest room above 0.
 func (b *Balancer) most(room func(*runner) int) *runner {
 	var best *runner
@@ -399,7 +491,10 @@
 // Use returns what this daemon tells its peers of the service.
 func (b *Balancer) Use() (free int, use PeerUse) {
 	now := b.Clock.Now()
-	use.Queued = b.queue.Len()
+	if math.Abs(b.demand-b.told) > toldStep*b.told {
+		b.told = b.demand
+	}
+	use.Daemon, use.Demand, use.Queued = b.Self, b.told, b.queue.Len()
 	for _, r := range b.runners {
 		use.InFlight = append(use.InFlight, r.inFlight)
 		if r.usable(now) {
--- a/mfroute/router.go
+++ b/mfroute/router.go
@@ -94,7 +94,7 @@
 		s.mutex.Lock()
 		free, use := s.balancer.Use()
 		s.mutex.Unlock()
-		out[id] = mfpeer.ServiceStatus{Free: free, Queued: use.Queued, InFlight: use.InFlight}
+		out[id] = mfpeer.ServiceStatus{Free: free, Queued: use.Queued, Demand: use.Demand, InFlight: use.InFlight}
 	}
 	return out
 }
@@ -169,7 +169,7 @@
 				continue
 			}
 			if status, ok := p.Status.Services[id]; ok {
-				uses = append(uses, PeerUse{Queued: status.Queued, InFlight: status.InFlight})
+				uses = append(uses, PeerUse{Daemon: p.Peer.Daemon, Queued: status.Queued, Demand: status.Demand, InFlight: status.InFlight})
 			}
 		}
 		s.mutex.Lock()
--- a/mfroute/runner.go
+++ b/mfroute/runner.go
@@ -80,6 +80,22 @@
 	return int(r.placed.Slots) - r.inFlight - r.others
 }
 
+// ownRoom returns how many more requests this daemon may send there within its share.
+func (r *runner) ownRoom(now time.Time, exclude map[mothferry.TaskID]bool) int {
+	if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) {
+		return 0
+	}
+	return r.free()
+}
+
+// borrowRoom returns how many slots there seem to be used by nobody.
+func (r *runner) borrowRoom(now time.Time, exclude map[mothferry.TaskID]bool) int {
+	if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) || r.inFlight >= min(r.window, r.connections) {
+		return 0
+	}
+	return r.spare()
+}
+
 // note takes the end of a dispatch into the runner's health.
 func (r *runner) note(result Result, now time.Time, random mothferry.Random) {
 	switch result {
--- a/mfroute/share.go
+++ b/mfroute/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 
 	"mothferry"
@@ -43,21 +45,51 @@
 	return x ^ x>>31
 }
 
-// Share returns how many of a runner's slots belong to one member. The shares
-// of all members add up to the slots; the remainder goes to the members first
-// in the runner's rendezvous order, so that it is spread over many runners.
-func Share(task mothferry.TaskID, slots mothferry.Slots, members []mothferry.DaemonID, self mothferry.DaemonID) int {
-	if len(members) == 0 {
-		return 0
+// Shares divides every runner's slots among the members in proportion to their
+// weights, and returns the part of self. Each runner's shares add up to its
+// slots. What rounding leaves over on one runner is carried to the next, so
+// that a member whose part of one runner is less than a slot still gets its
+// part of the whole. Members that know the same weights work out the same
+// shares.
+func Shares(slots []mothferry.Slots, weights map[mothferry.DaemonID]float64, self mothferry.DaemonID) []int {
+	members := slices.Sorted(maps.Keys(weights))
+	total := 0.0
+	for _, m := range members {
+		total += weights[m]
 	}
-	share := int(slots) / len(members)
-	for i, m := range Rank(string(task), members) {
-		if m == self {
-			if i < int(slots)%len(members) {
-				share++
+	own := make([]int, len(slots))
+	due := make([]float64, len(members))
+	for i, n := range slots {
+		left := int(n)
+		given := make([]int, len(members))
+		for j, m := range members {
+			due[j] += float64(n) * weights[m] / total
+			given[j] = min(max(int(due[j]), 0), left)
+			left -= given[j]
+		}
+		for ; left > 0; left-- {
+			given[neediest(due, given)]++
+		}
+		for j, m := range members {
+			due[j] -= float64(given[j])
+			if m == self {
+				own[i] = given[j]
 			}
-			return share
 		}
 	}
-	return 0
+	return own
+}
+
+// rounding is far above the error of the sums in Shares and far below a slot.
+const rounding = 1e-9
+
+// neediest returns the member that is owed most, the first of several.
+func neediest(due []float64, given []int) int {
+	best := 0
+	for j := range due {
+		if due[j]-float64(given[j]) > due[best]-float64(given[best])+rounding {
+			best = j
+		}
+	}
+	return best
 }
