Prove the request path over separate processes under kills, freezes and cuts

Cause: the path was proved in one process only.

Found, each with a test that failed first: - A runner's window grew with answers only, so that a waking service with slow requests got one request for each runner until the first answer: 8 of 12 requests of 4.5 s ran into their deadline of 5 s (TestLeavingGetsNoNewWork, TestSlowAnswersFillARunner). Requests now wait until the placements have been compared with a peer's or the table's within the notice; a daemon that reaches nobody goes on. - Stopping a leaving runner without waiting for every entry host cuts requests off where workers stop abruptly (TestRunnersStopEmpty, guard taken out).

Ruled out: the holder's word alone as the bound, since a paused daemon does not hear it.

Left: ending a daemon takes up to 5 s while callers hold connections that never carried a request; http.Server waits that long for them.

--- a/mfdaemon/daemon.go
+++ b/mfdaemon/daemon.go
@@ -165,7 +165,8 @@
 	}
 	d.follower = &mffollow.Follower{
 		Self: s.Daemon, DataCentre: s.DataCentre, EntryHosts: s.EntryHosts(), Clock: d.Clock,
-		Table: d.platform.Table, Store: d.store, Poll: s.Timing.Poll, Heartbeat: s.Timing.Heartbeat, Log: d.Logs.Part("config"),
+		Table: d.platform.Table, Store: d.store, Poll: s.Timing.Poll, Heartbeat: s.Timing.Heartbeat,
+		Bound: s.Timing.Notice / 3, Log: d.Logs.Part("config"),
 	}
 	d.follower.Prepare(d.Random)
 	d.mesh = &mfpeer.Mesh{
@@ -203,7 +204,7 @@
 		Transports: &mfentry.Transports{Connect: s.Timing.Connect, HeaderBytes: int64(s.Limits.HeaderBytes)},
 		Clock:      d.Clock, Random: d.Random, Observer: d.metrics, Log: d.Logs.Part("entry"), NewToken: NewToken,
 		BufferBytes: s.Limits.BufferBytes, BodyBytes: s.Limits.BodyBytes,
-		EntryHosts: len(s.EntryHosts()), PeerBound: d.peerBound(),
+		EntryHosts: len(s.EntryHosts()), PeerBound: d.peerBound(), Confirmed: d.follower.Confirmed, Notice: s.Timing.Notice,
 	}
 	d.follower.SetOffers(d.router)
 	mux := http.NewServeMux()
--- a/mfentry/dispatch.go
+++ b/mfentry/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mothferry"
+	"mothferry/mfclock"
 	"mothferry/mfpeer"
 	"mothferry/mfroute"
 )
@@ -16,6 +17,10 @@
 // maxTries bounds how often one request is sent, whatever the reasons.
 const maxTries = 4
 
+// confirmPause is how often a request that waits for the placements to be
+// compared looks again.
+const confirmPause = 5 * time.Millisecond
+
 // spillTries bounds the peers that are asked to take over one request.
 const spillTries = 2
 
@@ -24,6 +29,7 @@
 	tried := map[mothferry.TaskID]bool{}
 	var last *failure
 	for try := range maxTries {
+		h.confirmed(ctx)
 		lease, err := h.Router.Acquire(ctx, q.service, mfroute.Request{
 			Customer: q.customer, Priority: q.priority, Exclude: tried,
 			Again: try > 0, Retry: last != nil && last.reason != mothferry.ReasonRefused,
@@ -57,11 +63,9 @@
 
 // try sends a request to one runner.
 func (h *Handler) try(ctx context.Context, q *request, lease *mfroute.Lease) (*answer, *failure) {
-	if !h.Clock.Now().Before(q.deadline) {
-		// A daemon that was paused while the request waited must not send
-		// what has expired: its caller was told so, or will be.
-		h.Router.Release(q.service, lease, mfroute.ResultNeutral)
-		return nil, &failure{notRun: true, reason: mothferry.ReasonDeadline, result: mfroute.ResultNeutral}
+	if f := h.stale(q); f != nil {
+		h.Router.Release(q.service, lease, f.result)
+		return nil, f
 	}
 	u := upstream{transport: h.Transports.get(h.connections(lease)), address: lease.Address}
 	response, f := h.attempt(ctx, q, u)
@@ -86,6 +90,29 @@
 	return a, nil
 }
 
+// stale returns a failure if the request or the placements that it was given
+// a runner from are too old to send anything by. Both happen to a daemon that
+// was paused: its caller was told of the deadline or will be, and the runner
+// may have left meanwhile.
+func (h *Handler) stale(q *request) *failure {
+	now := h.Clock.Now()
+	switch {
+	case !now.Before(q.deadline):
+		return &failure{notRun: true, reason: mothferry.ReasonDeadline, result: mfroute.ResultNeutral}
+	case now.Sub(h.Confirmed()) > h.Notice:
+		return &failure{notRun: true, reason: mothferry.ReasonStaleView, result: mfroute.ResultNeutral}
+	}
+	return nil
+}
+
+// confirmed waits until the placements in force have been compared with
+// others' lately enough.
+func (h *Handler) confirmed(ctx context.Context) {
+	for h.Clock.Now().Sub(h.Confirmed()) > h.Notice && mfclock.Sleep(ctx, h.Clock, confirmPause) {
+		continue
+	}
+}
+
 // connections returns this daemon's part of a runner's connections. All entry
 // hosts count, also those that are down: a limit that followed the membership
 // would be overrun while one of them returns.
--- a/mfentry/handler.go
+++ b/mfentry/handler.go
@@ -64,6 +64,10 @@
 	EntryHosts int
 	// PeerBound is how long ago a peer may have been heard to count as live.
 	PeerBound time.Duration
+	// Confirmed returns when the placements in force were last compared with
+	// others'; requests wait while that is longer ago than Notice.
+	Confirmed func() time.Time
+	Notice    time.Duration
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
--- a/mfentry/handler_test.go
+++ b/mfentry/handler_test.go
@@ -92,6 +92,7 @@
 		Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Observer: &ends{}, Log: mflog.Discard(),
 		NewToken:    func() mothferry.Token { return "generated" },
 		BufferBytes: 64 << 10, BodyBytes: 1 << 20, EntryHosts: 1, PeerBound: time.Second,
+		Confirmed: time.Now, Notice: time.Second,
 	}
 	ledger := &mfledger.Ledger{
 		Table: mffake.NewTable(mfclock.System{}), Clock: mfclock.System{}, Keep: time.Hour, RecordBytes: 1 << 10,
--- a/mffollow/follower.go
+++ b/mffollow/follower.go
@@ -59,7 +59,9 @@
 	Mesh       *mfpeer.Mesh
 	Poll       time.Duration
 	Heartbeat  time.Duration
-	Log        *log.Entry
+	// Bound is how long one comparison with peers may take.
+	Bound time.Duration
+	Log   *log.Entry
 
 	incarnation uint64
 	work        chan func(context.Context)
@@ -70,6 +72,11 @@
 	source   Source
 	reached  time.Time
 	fetching map[string]bool
+	// confirmed is when the last comparison with others began that is done.
+	confirmed time.Time
+
+	// turn is the peer to compare with next; only Run uses it.
+	turn int
 }
 
 // fetchBacklog bounds the fetches that wait; one that finds no room is tried
@@ -81,6 +88,7 @@
 	f.incarnation = uint64(f.Clock.Now().UnixNano()) ^ uint64(random.IntN(1<<30))
 	f.work = make(chan func(context.Context), fetchBacklog)
 	f.fetching = map[string]bool{}
+	f.confirmed = f.Clock.Now()
 	f.source = SourceNone
 }
 
@@ -109,6 +117,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var group sync.WaitGroup
 	group.Go(func() { f.poll(ctx) })
+	group.Go(func() { f.confirm(ctx) })
 	defer group.Wait()
 	for {
 		select {
@@ -313,13 +322,7 @@
 
 func (f *Follower) fetchPlacement(from mfpeer.Peer, pool mothferry.PoolID) {
 	f.fetch("placement "+string(pool), func(ctx context.Context) error {
-		record, err := f.Mesh.Placement(ctx, from.Daemon, pool)
-		if err != nil {
-			return err
-		}
-		if record.DataCentre == f.DataCentre {
-			f.Store.AdoptPlacement(record)
-		}
+		f.adoptPlacement(ctx, from, pool)
 		return nil
 	})
 }
--- /dev/null
+++ b/mffollow/fresh.go
@@ -0,0 +1,89 @@
+package mffollow
+
+import (
+	"context"
+	"time"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mfpeer"
+)
+
+// Confirmed returns when this daemon last began to compare its placements with
+// a peer of its data centre or with the table, and was done with it.
+//
+// A daemon that was paused (a frozen machine, a long stop for memory) resumes
+// with the placements of before. Without this check it would send requests to
+// runners that left meanwhile, for as long as the next heartbeat takes. The
+// age of the last comparison shows the pause: requests wait until the next one
+// is done. A daemon that reaches nobody has compared with all that there is,
+// and goes on serving.
+func (f *Follower) Confirmed() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.confirmed
+}
+
+// confirm compares the placements in force with others' again and again.
+func (f *Follower) confirm(ctx context.Context) {
+	for {
+		began := f.Clock.Now()
+		f.catchUp(ctx)
+		f.mutex.Lock()
+		f.confirmed = began
+		f.mutex.Unlock()
+		if !mfclock.Sleep(ctx, f.Clock, f.Heartbeat) {
+			return
+		}
+	}
+}
+
+// catchUp asks the peers of this data centre, beginning with another one each
+// time, until one replies, and adopts what it has newer. If none replies it
+// asks the table. It is bounded, so that an unreachable peer does not keep a
+// daemon that serves from confirming what it knows.
+func (f *Follower) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, f.Bound)
+	defer cancel()
+	near := f.nearPeers()
+	for i := range near {
+		p := near[(i+f.turn)%len(near)]
+		status, err := f.Mesh.Exchange(ctx, p)
+		if err != nil {
+			continue
+		}
+		f.turn = (i + f.turn + 1) % len(near)
+		f.adoptNewer(ctx, p, status)
+		return
+	}
+	if err := f.readTable(ctx); err != nil && ctx.Err() == nil {
+		f.Log.WithError(err).Debug("Neither peers nor the platform can be reached.")
+	}
+}
+
+func (f *Follower) nearPeers() []mfpeer.Peer {
+	var near []mfpeer.Peer
+	for _, p := range f.Mesh.Peers {
+		if p.DataCentre == f.DataCentre {
+			near = append(near, p)
+		}
+	}
+	return near
+}
+
+// adoptNewer fetches the placements that a peer has newer, and waits for them.
+func (f *Follower) adoptNewer(ctx context.Context, p mfpeer.Peer, s mfpeer.Status) {
+	current := f.Store.Current()
+	for pool, k := range s.Shards {
+		if k.Generation > current.Placements[pool].Generation {
+			f.adoptPlacement(ctx, p, pool)
+		}
+	}
+}
+
+func (f *Follower) adoptPlacement(ctx context.Context, p mfpeer.Peer, pool mothferry.PoolID) {
+	record, err := f.Mesh.Placement(ctx, p.Daemon, pool)
+	if err == nil && record.DataCentre == f.DataCentre {
+		f.Store.AdoptPlacement(record)
+	}
+}
--- a/mfpeer/mesh.go
+++ b/mfpeer/mesh.go
@@ -172,6 +172,17 @@
 	return mfplacement.Decode(reply.GetPlacement().GetRecord())
 }
 
+// Exchange swaps heartbeats with a peer and returns the peer's.
+func (m *Mesh) Exchange(ctx context.Context, p Peer) (Status, error) {
+	call := &mfwire.Call{Kind: &mfwire.Call_Status{Status: m.Node.Status().wire()}}
+	reply, err := m.call(ctx, p.Daemon, call)
+	if err != nil {
+		return Status{}, err
+	}
+	m.heard(p, reply.GetStatus())
+	return statusFrom(reply.GetStatus()), nil
+}
+
 // Push sends newly accepted documents to every peer, without waiting for all:
 // a peer that misses them learns the revision from the next heartbeat.
 func (m *Mesh) Push(ctx context.Context, d mfsnapshot.Delta) {
@@ -256,13 +267,9 @@
 func (m *Mesh) beat(ctx context.Context, p Peer, session *yamux.Session) {
 	for ctx.Err() == nil {
 		if m.Self < p.Daemon {
-			status := m.Node.Status().wire()
-			call := &mfwire.Call{Kind: &mfwire.Call_Status{Status: status}}
-			reply, err := m.call(ctx, p.Daemon, call)
-			if err != nil {
+			if _, err := m.Exchange(ctx, p); err != nil {
 				return
 			}
-			m.heard(p, reply.GetStatus())
 		}
 		select {
 		case <-ctx.Done():
--- a/mfroute/balancer.go
+++ b/mfroute/balancer.go
@@ -244,7 +244,7 @@
 	for _, r := range b.runners {
 		if r.usable(now) {
 			slots += int(r.placed.Slots)
-			idle += max(r.spare()-max(r.free(), 0), 0)
+			idle += max(r.spare()-max(r.free(now), 0), 0)
 		}
 	}
 	b.overloaded = demand > overloadFactor*float64(slots)
@@ -368,6 +368,9 @@
 
 func (b *Balancer) lease(t *Ticket, r *runner, borrowed bool, now time.Time) {
 	r.inFlight++
+	if r.began.IsZero() {
+		r.began = now
+	}
 	if borrowed {
 		b.borrowed++
 	}
--- a/mfroute/balancer_test.go
+++ b/mfroute/balancer_test.go
@@ -190,6 +190,21 @@
 	assert.Equal(t, seen, 1, "a returning runner gets one request first")
 }
 
+// TestSlowAnswersFillARunner: symptom, a waking customer's slow requests time
+// out in the queue of idle runners. Sequence: new runners get one request each
+// and no more until the first answer, seconds later. Cause: a window that
+// grows with answers alone.
+func TestSlowAnswersFillARunner(t *testing.T) {
+	k := newBench(1, Limits{Queue: 10, WaitShare: 1, EjectShare: 0.5})
+	for range 4 {
+		k.submit("c")
+	}
+	assert.Equal(t, len(k.leases), 1)
+	k.clock.Advance(4 * windowStep)
+	k.balancer.Wake()
+	assert.Equal(t, len(k.leases), 4)
+}
+
 // TestFairQueue: symptom, one customer's burst starves the others. The burst
 // waits behind its own requests and is what a full queue gives up.
 func TestFairQueue(t *testing.T) {
--- a/mfroute/runner.go
+++ b/mfroute/runner.go
@@ -50,10 +50,12 @@
 	share    int
 	// connections is this daemon's part of the runner's connections.
 	connections int
-	// window bounds inFlight while the runner is new or back from ejection.
-	// It starts at one and grows with each answer, so that a runner which
-	// fails again costs few requests.
+	// window bounds inFlight while the runner is new or back from ejection, so
+	// that a runner which fails again costs few requests. It starts at one and
+	// grows with each answer, and with the time since began, the first request
+	// sent: answers alone would hold back a service whose requests are slow.
 	window int
+	began  time.Time
 	// others is what the other daemons last said they had in flight.
 	others int
 	// leaving is the runner's own word, which outruns the published placement.
@@ -70,9 +72,22 @@
 	return r.placed.State == mfplacement.StateServing && !r.leaving && !now.Before(r.ejectedUntil)
 }
 
+// windowStep is the time in which the window of a runner grows by one without an answer.
+const windowStep = 25 * time.Millisecond
+
+// bound returns how many requests this daemon may have in flight there,
+// whatever its share.
+func (r *runner) bound(now time.Time) int {
+	window := r.window
+	if !r.began.IsZero() {
+		window += int(now.Sub(r.began) / windowStep)
+	}
+	return min(window, r.connections)
+}
+
 // free returns how many more requests fit into this daemon's own share.
-func (r *runner) free() int {
-	return min(r.share, r.window, r.connections) - r.inFlight
+func (r *runner) free(now time.Time) int {
+	return min(r.share, r.bound(now)) - r.inFlight
 }
 
 // spare estimates how many slots of the runner nobody uses.
@@ -85,12 +100,12 @@
 	if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) {
 		return 0
 	}
-	return r.free()
+	return r.free(now)
 }
 
 // borrowRoom returns how many slots there seem to be used by nobody.
 func (r *runner) borrowRoom(now time.Time, exclude map[mothferry.TaskID]bool) int {
-	if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) || r.inFlight >= min(r.window, r.connections) {
+	if !r.usable(now) || exclude[r.placed.Task] || now.Before(r.busyUntil) || r.inFlight >= r.bound(now) {
 		return 0
 	}
 	return r.spare()
@@ -128,5 +143,5 @@
 	r.ejectedUntil = now.Add(pause)
 	r.ejections++
 	r.lost = 0
-	r.window = 1
+	r.window, r.began = 1, time.Time{}
 }
--- a/mfstandin/server.go
+++ b/mfstandin/server.go
@@ -25,6 +25,8 @@
 	LoseReplies int `json:"lose_replies"`
 	// ListLag is how long the host list shows an old state.
 	ListLag time.Duration `json:"list_lag"`
+	// AbruptStop makes workers kill a task that they are asked to stop.
+	AbruptStop bool `json:"abrupt_stop"`
 }
 
 // Server is the platform's stand-in with its switches.
@@ -92,7 +94,7 @@
 	s.mutex.Lock()
 	s.faults = f
 	s.mutex.Unlock()
-	s.Workers.SetLag(f.ListLag)
+	s.Workers.Configure(f.ListLag, f.AbruptStop)
 }
 
 // Handler serves the platform's interface and, under /standin/, the switches.
--- a/mfstandin/worker.go
+++ b/mfstandin/worker.go
@@ -37,6 +37,7 @@
 
 	mutex   sync.Mutex
 	lag     time.Duration
+	abrupt  bool
 	workers map[mothferry.HostID]*worker
 	epochs  map[mothferry.Shard]mothferry.Epoch
 }
@@ -67,11 +68,12 @@
 	w.workers[r.Host] = &worker{record: r, tasks: map[mothferry.TaskID]*task{}}
 }
 
-// SetLag sets how long the host list shows an old state.
-func (w *Workers) SetLag(d time.Duration) {
+// Configure sets how long the host list shows an old state, and whether
+// tasks are killed when they are asked to stop.
+func (w *Workers) Configure(lag time.Duration, abrupt bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.lag = d
+	w.lag, w.abrupt = lag, abrupt
 }
 
 // SetFaults sets the switches of one worker.
@@ -237,6 +239,9 @@
 		return nil
 	}
 	t.state = mothferry.TaskStopping
+	if w.abrupt {
+		t.runner.SetFaults(RunnerFaults{Dead: true})
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stopBound)
 		defer cancel()
--- a/outcome.go
+++ b/outcome.go
@@ -67,4 +67,5 @@
 	ReasonRefused         Reason = "refused"
 	ReasonBodyUnreadable  Reason = "body_unreadable"
 	ReasonPeerUnreachable Reason = "peer_unreachable"
+	ReasonStaleView       Reason = "stale_view"
 )
