Count platform bytes, measure control alone, and part the two roles

Cause: the size to design for limits control to 3% of a core, 128 MB and 17 kB a second for each daemon, and nothing measured it. BenchmarkControl does, with the entry switched off and one size varied at a time.

Found on the way: with the entry switched off no daemon held a shard, as the defaults of both roles were one variable (TestRolesAreSeparate).

--- a/mfdaemon/daemon.go
+++ b/mfdaemon/daemon.go
@@ -31,6 +31,7 @@
 	"mothferry/mfroute"
 	"mothferry/mfsetting"
 	"mothferry/mfsnapshot"
+	"mothferry/mftraffic"
 )
 
 // Bounds that are not settings.
@@ -48,6 +49,8 @@
 	// has the figures behind both.
 	waitShare     = 0.12
 	overloadShare = 0.035
+	// platformConnections bounds the unused connections to the platform that are kept.
+	platformConnections = 16
 	// stopGrace is added to the longest deadline in force when a daemon stops.
 	stopGrace = 2 * time.Second
 )
@@ -77,7 +80,9 @@
 	callers    *http.Server
 	operators  *http.Server
 	stopping   atomic.Bool
-	done       chan struct{}
+	// traffic counts the bytes on connections to the platform.
+	traffic mftraffic.Counter
+	done    chan struct{}
 }
 
 // NewToken returns a token that is never used twice.
@@ -145,7 +150,9 @@
 // build makes the parts and ties them together.
 func (d *Daemon) build() {
 	s := d.Settings
-	client := &mfplatform.Client{URL: s.Platform.URL, Timeout: s.Platform.Timeout, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	client := &mfplatform.Client{URL: s.Platform.URL, Timeout: s.Platform.Timeout, HTTP: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections, DialContext: d.traffic.Dial},
+	}}
 	d.platform = client.Platform()
 	d.store = mfsnapshot.NewStore()
 	d.buildState()
@@ -192,12 +199,11 @@
 	}
 	d.ledger.Prepare()
 	d.metrics = mfmetric.New(mfmetric.Gauges{
-		Revision:      func() float64 { return float64(d.store.Current().Revision) },
-		InFlight:      func() float64 { return float64(d.entry.InFlight()) },
-		Peers:         func() float64 { return float64(len(d.mesh.Live(d.peerBound()))) },
-		Holdings:      func() float64 { return float64(len(d.keeper.Holdings())) },
-		BytesSent:     func() float64 { return float64(d.mesh.Traffic.Sent.Load()) },
-		BytesReceived: func() float64 { return float64(d.mesh.Traffic.Received.Load()) },
+		Revision:    func() float64 { return float64(d.store.Current().Revision) },
+		InFlight:    func() float64 { return float64(d.entry.InFlight()) },
+		Peers:       func() float64 { return float64(len(d.mesh.Live(d.peerBound()))) },
+		Holdings:    func() float64 { return float64(len(d.keeper.Holdings())) },
+		PeerTraffic: &d.mesh.Traffic, PlatformTraffic: &d.traffic,
 	})
 	d.entry = &mfentry.Handler{
 		DataCentre: s.DataCentre, Store: d.store, Router: d.router, Ledger: d.ledger, Mesh: d.mesh,
@@ -258,7 +264,7 @@
 
 // ready reports whether callers should be sent here.
 func (d *Daemon) ready() bool {
-	return !d.stopping.Load() && *d.Settings.Roles.Entry && d.store.Current().Revision > 0
+	return !d.stopping.Load() && d.Settings.Roles.Entry && d.store.Current().Revision > 0
 }
 
 // supervise arranges the parts in a tree: a part that fails is started again
@@ -272,14 +278,14 @@
 	root := d.supervisor("mothferry")
 	root.Add(state)
 	root.Add(operators)
-	if *d.Settings.Roles.Entry {
+	if d.Settings.Roles.Entry {
 		requests := d.supervisor("requests")
 		requests.Add(part{"route", d.router.Run})
 		requests.Add(part{"ledger", d.ledger.Run})
 		requests.Add(part{"entry", serve(d.callers, d.Callers, d.Settings.Listen.Callers)})
 		root.Add(requests)
 	}
-	if *d.Settings.Roles.Control {
+	if d.Settings.Roles.Control {
 		control := d.supervisor("control")
 		control.Add(part{"lease", d.keeper.Run})
 		control.Add(part{"control", d.controller.Run})
--- a/mfmetric/metric.go
+++ b/mfmetric/metric.go
@@ -2,11 +2,13 @@
 package mfmetric
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mothferry"
+	"mothferry/mftraffic"
 )
 
 // Metrics are the counters of one daemon. They implement the entry's Observer.
@@ -19,12 +21,13 @@
 
 // Gauges are the values that are read when the metrics are.
 type Gauges struct {
-	Revision      func() float64
-	InFlight      func() float64
-	Peers         func() float64
-	Holdings      func() float64
-	BytesSent     func() float64
-	BytesReceived func() float64
+	Revision func() float64
+	InFlight func() float64
+	Peers    func() float64
+	Holdings func() float64
+	// PeerTraffic and PlatformTraffic count bytes on connections.
+	PeerTraffic     *mftraffic.Counter
+	PlatformTraffic *mftraffic.Counter
 }
 
 // New returns metrics in a registry of their own.
@@ -44,8 +47,8 @@
 	m.gauge("mothferry_requests_in_flight", "Requests in work at this daemon.", g.InFlight)
 	m.gauge("mothferry_peers_live", "Peers heard lately.", g.Peers)
 	m.gauge("mothferry_shards_held", "Shards that this daemon holds.", g.Holdings)
-	m.counter("mothferry_peer_sent_bytes_total", "Bytes sent to peers.", g.BytesSent)
-	m.counter("mothferry_peer_received_bytes_total", "Bytes received from peers.", g.BytesReceived)
+	m.traffic("peer", g.PeerTraffic)
+	m.traffic("platform", g.PlatformTraffic)
 	return m
 }
 
@@ -53,8 +56,17 @@
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
-func (m *Metrics) counter(name, help string, read func() float64) {
-	m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+func (m *Metrics) traffic(with string, c *mftraffic.Counter) {
+	for _, k := range []struct {
+		name, help string
+		count      *atomic.Int64
+	}{
+		{"mothferry_" + with + "_sent_bytes_total", "Bytes sent on connections to the " + with + ".", &c.Sent},
+		{"mothferry_" + with + "_received_bytes_total", "Bytes received on connections to the " + with + ".", &c.Received},
+	} {
+		options := prometheus.CounterOpts{Name: k.name, Help: k.help}
+		m.Registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(k.count.Load()) }))
+	}
 }
 
 // Ended counts the end of a request. Requests of no known service share the
--- a/mfpeer/call.go
+++ b/mfpeer/call.go
@@ -90,7 +90,7 @@
 		if err != nil {
 			return
 		}
-		session, err := yamux.Server(m.counted(connection), m.sessionConfig())
+		session, err := yamux.Server(m.Traffic.Wrap(connection), m.sessionConfig())
 		if err != nil {
 			_ = connection.Close()
 			continue
--- a/mfpeer/mesh.go
+++ b/mfpeer/mesh.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"sort"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -23,6 +22,7 @@
 	"mothferry/mfpeer/mfwire"
 	"mothferry/mfplacement"
 	"mothferry/mfsnapshot"
+	"mothferry/mftraffic"
 )
 
 // Node is the daemon behind the mesh: it answers peers' calls and learns
@@ -67,12 +67,6 @@
 	return fmt.Sprintf("no session to peer %s", e.Daemon)
 }
 
-// Traffic counts bytes on peer connections.
-type Traffic struct {
-	Sent     atomic.Int64
-	Received atomic.Int64
-}
-
 // Mesh is one daemon's connections to its peers.
 type Mesh struct {
 	Self       mothferry.DaemonID
@@ -91,7 +85,8 @@
 	Spill http.Handler
 	Log   *log.Entry
 
-	Traffic Traffic
+	// Traffic counts the bytes on the connections to peers.
+	Traffic mftraffic.Counter
 
 	mutex    sync.Mutex
 	states   map[mothferry.DaemonID]*State
@@ -250,7 +245,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	session, err := yamux.Client(m.counted(connection), m.sessionConfig())
+	session, err := yamux.Client(m.Traffic.Wrap(connection), m.sessionConfig())
 	if err != nil {
 		_ = connection.Close()
 		return nil, trace.Wrap(err)
@@ -329,27 +324,3 @@
 	config.ConnectionWriteTimeout = m.Timeout
 	return config
 }
-
-// counted wraps a connection so that its bytes are counted.
-func (m *Mesh) counted(c net.Conn) net.Conn {
-	return &countedConnection{Conn: c, traffic: &m.Traffic}
-}
-
-type countedConnection struct {
-	net.Conn
-	traffic *Traffic
-}
-
-// Read implements net.Conn.
-func (c *countedConnection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.traffic.Received.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConnection) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.traffic.Sent.Add(int64(n))
-	return n, err
-}
--- /dev/null
+++ b/mfprocess/control_test.go
@@ -0,0 +1,146 @@
+package mfprocess
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfdaemon"
+	"mothferry/mfdocument"
+	"mothferry/mfstandin"
+)
+
+// controlSize is what a measurement of control runs at.
+type controlSize struct {
+	perCentre int
+	pools     int
+	hosts     int
+	documents int
+}
+
+// usage is what one daemon has used up to a moment.
+type usage struct {
+	processor time.Duration
+	resident  mothferry.Bytes
+	peer      float64
+	platform  float64
+}
+
+// BenchmarkControl measures a daemon's control alone, its entry switched off,
+// while nothing changes. Each size is varied by itself. Run with -benchtime 1x.
+func BenchmarkControl(b *testing.B) {
+	base := controlSize{perCentre: 2, pools: 1, hosts: 32, documents: 10}
+	sizes := []controlSize{base}
+	for _, n := range []int{1, 4, 8} {
+		sizes = append(sizes, controlSize{n, base.pools, base.hosts, base.documents})
+	}
+	for _, n := range []int{4, 8, 16} {
+		sizes = append(sizes, controlSize{base.perCentre, n, base.hosts, base.documents})
+	}
+	for _, n := range []int{64, 128, 256} {
+		sizes = append(sizes, controlSize{base.perCentre, base.pools, n, base.documents})
+	}
+	for _, n := range []int{40, 80, 160} {
+		sizes = append(sizes, controlSize{base.perCentre, base.pools, base.hosts, n})
+	}
+	for _, s := range sizes {
+		name := fmt.Sprintf("daemons=%d/pools=%d/hosts=%d/documents=%d", 3*s.perCentre, s.pools, s.hosts, s.documents)
+		b.Run(name, func(b *testing.B) { control(b, s) })
+	}
+}
+
+func control(b *testing.B, s controlSize) {
+	const settled, span = 4 * time.Second, 5 * time.Second
+	var pools []string
+	for i := range s.pools {
+		pools = append(pools, fmt.Sprint("pool-", i))
+	}
+	d := startWith(b, s.perCentre, "roles: {entry: false}\n", "--hosts", strconv.Itoa(s.hosts), "--pools", strings.Join(pools, ","))
+	for i := range s.documents {
+		k := mfdocument.Default()
+		k.Service, k.Team, k.Runners = mothferry.ServiceID(fmt.Sprint("service-", i)), "team", 6
+		k.Place.DataCentres = []mothferry.DataCentre{"dc1", "dc2", "dc3"}
+		k.Place.Pools = []mothferry.PoolID{mothferry.PoolID(pools[i%len(pools)])}
+		k.Unavailability.Window = time.Hour
+		eventually(b, "document is accepted", func() bool {
+			_, err := d.processes[0].operator.Apply(b.Context(), k.Service, k.YAML(), 0, "test", mfdaemon.NewToken())
+			return err == nil
+		})
+	}
+	d.awaitRevision(b, mothferry.Revision(s.documents), d.processes)
+	d.awaitServing(b, d.processes)
+	time.Sleep(settled)
+	before := make([]usage, len(d.processes))
+	for i, p := range d.processes {
+		before[i] = d.used(b, p)
+	}
+	load := get[mfstandin.TableLoad](b, d, "load")
+	time.Sleep(span)
+	after := get[mfstandin.TableLoad](b, d, "load")
+	var most, sum usage
+	for i, p := range d.processes {
+		u := d.used(b, p)
+		u.processor, u.peer, u.platform = u.processor-before[i].processor, u.peer-before[i].peer, u.platform-before[i].platform
+		most = usage{max(most.processor, u.processor), max(most.resident, u.resident), max(most.peer, u.peer), max(most.platform, u.platform)}
+		sum = usage{sum.processor + u.processor, sum.resident + u.resident, sum.peer + u.peer, sum.platform + u.platform}
+	}
+	n := float64(len(d.processes))
+	b.ReportMetric(100*most.processor.Seconds()/span.Seconds(), "most-core-%")
+	b.ReportMetric(100*sum.processor.Seconds()/span.Seconds()/n, "mean-core-%")
+	b.ReportMetric(float64(most.resident/mothferry.Mebibyte), "most-MiB")
+	b.ReportMetric(sum.peer/span.Seconds()/n/1000, "mean-peer-kB/s")
+	b.ReportMetric(most.platform/span.Seconds()/1000, "most-platform-kB/s")
+	b.ReportMetric(float64(after.Reads-load.Reads)/span.Seconds(), "table-reads/s")
+	b.ReportMetric(float64(after.Writes-load.Writes)/span.Seconds(), "table-writes/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// used reads a daemon's use of processor and memory from the operating system
+// and its bytes, both ways together, from its metrics.
+func (d *deployment) used(t testing.TB, p *process) usage {
+	t.Helper()
+	const tick = 10 * time.Millisecond
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	assert.NilError(t, err)
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')'):]))
+	user, err := strconv.Atoi(fields[12])
+	assert.NilError(t, err)
+	system, err := strconv.Atoi(fields[13])
+	assert.NilError(t, err)
+	pages, err := strconv.Atoi(fields[22])
+	assert.NilError(t, err)
+	return usage{
+		processor: time.Duration(user+system) * tick,
+		resident:  mothferry.Bytes(pages * os.Getpagesize()),
+		peer:      d.metric(t, p, "mothferry_peer_"),
+		platform:  d.metric(t, p, "mothferry_platform_"),
+	}
+}
+
+// metric sums a daemon's metrics whose names begin with prefix.
+func (d *deployment) metric(t testing.TB, p *process, prefix string) float64 {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.address+":7302/metrics", nil)
+	assert.NilError(t, err)
+	response, err := d.client.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	sum := 0.0
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if strings.HasPrefix(name, prefix) {
+			n, err := strconv.ParseFloat(value, 64)
+			assert.NilError(t, err)
+			sum += n
+		}
+	}
+	return sum
+}
--- a/mfprocess/deployment_test.go
+++ b/mfprocess/deployment_test.go
@@ -73,6 +73,12 @@
 
 // start runs the stand-in and, in each of three data centres, some daemons.
 func start(t testing.TB, perCentre int, settings string) *deployment {
+	t.Helper()
+	return startWith(t, perCentre, settings, "--hosts", "16")
+}
+
+// startWith does the same with flags for the stand-in.
+func startWith(t testing.TB, perCentre int, settings string, flags ...string) *deployment {
 	t.Helper()
 	subnets++
 	subnet := fmt.Sprintf("127.%d.%d", 1+os.Getpid()%200, subnets)
@@ -81,7 +87,7 @@
 		client:   &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	t.Cleanup(d.client.CloseIdleConnections)
-	d.run(t, "standin", "mothferry-standin", "--listen", d.platform, "--hosts", "16", "--start-delay", "20ms")
+	d.run(t, "standin", "mothferry-standin", append([]string{"--listen", d.platform, "--start-delay", "20ms"}, flags...)...)
 	for i := range 3 * perCentre {
 		p := &process{
 			name:    mothferry.DaemonID(fmt.Sprintf("entry-%d", i+1)),
--- a/mfsetting/setting.go
+++ b/mfsetting/setting.go
@@ -104,8 +104,8 @@
 
 // Roles switches parts off, to measure the others alone.
 type Roles struct {
-	Entry   *bool `yaml:"entry"`
-	Control *bool `yaml:"control"`
+	Entry   bool `yaml:"entry"`
+	Control bool `yaml:"control"`
 }
 
 // Log says what is logged and how.
@@ -117,7 +117,6 @@
 
 // Default returns the settings that hold where a file is silent.
 func Default() Settings {
-	on := true
 	return Settings{
 		Platform: PlatformAddress{Timeout: time.Second},
 		Timing: Timing{
@@ -140,7 +139,7 @@
 			LedgerKeep:  24 * time.Hour,
 		},
 		Weights: Weights{Buffer: 1, Moves: 1},
-		Roles:   Roles{Entry: &on, Control: &on},
+		Roles:   Roles{Entry: true, Control: true},
 		Log:     Log{Level: "info", Format: mflog.FormatText},
 	}
 }
--- a/mfsetting/setting_test.go
+++ b/mfsetting/setting_test.go
@@ -32,6 +32,14 @@
 	assert.DeepEqual(t, s.EntryHosts(), []mothferry.DaemonID{"entry-1", "entry-2"})
 }
 
+// TestRolesAreSeparate: symptom, a daemon whose entry is switched off holds no
+// shard either. Cause: both defaults were the same variable.
+func TestRolesAreSeparate(t *testing.T) {
+	s, err := Parse("good.yaml", []byte(good+"roles: {entry: false}\n"))
+	assert.NilError(t, err)
+	assert.Assert(t, !s.Roles.Entry && s.Roles.Control)
+}
+
 // TestParseRefuses shows that each unknown or impossible field is refused
 // with its file, line and field, and what would be right.
 func TestParseRefuses(t *testing.T) {
