Remember what a shard's holder wrote and rest while nothing happens

Change: host rows are read only when the data centre's row of changes has moved; the placement is remembered until a new epoch or any error; a shard where nothing is under way is planned later and later, up to 8 intervals (2 s). A change of documents or hosts wakes it at the next round. A dead worker is noticed up to 2 s later; requests are led around it by the daemons meanwhile.

--- a/mfcontrol/control.go
+++ b/mfcontrol/control.go
@@ -56,15 +56,21 @@
 	Self   Node
 	Store  *mfsnapshot.Store
 	Log    *log.Entry
+
+	// Only Run uses the fields below.
+	shards map[mothferry.PoolID]*known
+	// hosts are the records of this data centre's hosts as of hostsVersion.
+	hosts        []mfhost.Record
+	hostsVersion mothferry.Version
+	hostsLoaded  bool
 }
 
 // Run plans and acts until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	c.shards = map[mothferry.PoolID]*known{}
 	for {
-		for _, h := range c.Leases.Holdings() {
-			if err := c.step(ctx, h); err != nil && ctx.Err() == nil {
-				c.Log.WithField("shard", h.Fence.Shard).WithError(err).Warn("Shard could not be brought up to its documents.")
-			}
+		if holdings := c.Leases.Holdings(); len(holdings) > 0 {
+			c.round(ctx, holdings)
 		}
 		if !mfclock.Sleep(ctx, c.Clock, c.Interval) {
 			return ctx.Err()
@@ -72,6 +78,25 @@
 	}
 }
 
+// round brings the shards that are due one plan further.
+func (c *Controller) round(ctx context.Context, holdings []mflease.Holding) {
+	if err := c.refreshHosts(ctx); err != nil {
+		c.Log.WithError(err).Warn("Hosts could not be read.")
+		return
+	}
+	now := c.Clock.Now()
+	for _, h := range holdings {
+		k := c.remembered(h)
+		if now.Before(k.due) && k.revision == c.Store.Current().Revision && k.hostsVersion == c.hostsVersion {
+			continue
+		}
+		if err := c.step(ctx, h, k); err != nil && ctx.Err() == nil {
+			k.forget()
+			c.Log.WithField("shard", h.Fence.Shard).WithError(err).Warn("Shard could not be brought up to its documents.")
+		}
+	}
+}
+
 // Wanted returns the pools of this data centre that documents name or
 // placements still use.
 func (c *Controller) Wanted() []mothferry.PoolID {
@@ -90,62 +115,49 @@
 }
 
 // step brings one shard one plan further.
-func (c *Controller) step(ctx context.Context, h mflease.Holding) error {
-	in, row, err := c.read(ctx, h)
+func (c *Controller) step(ctx context.Context, h mflease.Holding, k *known) error {
+	if err := c.load(ctx, k); err != nil {
+		return err
+	}
+	k.revision, k.hostsVersion = c.Store.Current().Revision, c.hostsVersion
+	in, err := c.read(ctx, k)
 	if err != nil {
 		return err
 	}
 	out := mfplace.Plan(in)
 	if out.Changed {
-		if err := c.publish(ctx, h, out.Placement, row); err != nil {
+		if err := c.publish(ctx, h, out.Placement, k); err != nil {
 			return err
 		}
 	}
 	for service, n := range out.Unplaced {
 		c.Log.WithField("service", service).WithField("runners", n).WithField("shard", h.Fence.Shard).Warn("No host has room.")
 	}
+	k.schedule(c.Clock.Now(), c.Interval, settled(out))
 	return c.act(ctx, h.Fence, out)
 }
 
-// read gathers what a plan depends on, and the version of the placement's row.
-func (c *Controller) read(ctx context.Context, h mflease.Holding) (mfplace.Input, mothferry.Version, error) {
-	shard := h.Fence.Shard
-	in := mfplace.Input{Shard: shard, Epoch: h.Fence.Epoch, Quiet: c.quiet}
-	key := mfplacement.Key(shard)
-	rows, err := c.Platform.Table.Read(ctx, mothferry.Query{
-		Keys: []mothferry.Key{key}, Prefixes: []mothferry.Key{mfhost.Prefix(c.DataCentre)},
-	})
-	if err != nil {
-		return in, 0, trace.Wrap(err)
-	}
+// read gathers what a plan depends on. The hosts and the placement come from
+// what is remembered, see known.
+func (c *Controller) read(ctx context.Context, k *known) (mfplace.Input, error) {
+	shard := k.fence.Shard
+	in := mfplace.Input{Shard: shard, Epoch: k.fence.Epoch, Quiet: c.quiet, Previous: k.placement}
 	listed, err := c.listed(ctx)
 	if err != nil {
-		return in, 0, err
+		return in, err
 	}
 	reports, err := c.reports(ctx, shard)
 	if err != nil {
-		return in, 0, err
+		return in, err
 	}
-	var version mothferry.Version
-	for _, r := range rows {
-		if r.Key == key {
-			version = r.Version
-			if in.Previous, err = mfplacement.Decode(r.Value); err != nil {
-				return in, 0, err
-			}
-			continue
-		}
-		host, err := mfhost.Decode(r.Value)
-		if err != nil {
-			return in, 0, err
-		}
-		if host.Pool == shard.Pool {
-			tasks, reported := reports[host.Host]
-			in.Hosts = append(in.Hosts, mfplace.Host{Record: host, Listed: listed[host.Host], Reported: reported, Tasks: tasks})
+	for _, h := range c.hosts {
+		if h.Pool == shard.Pool {
+			tasks, reported := reports[h.Host]
+			in.Hosts = append(in.Hosts, mfplace.Host{Record: h, Listed: listed[h.Host], Reported: reported, Tasks: tasks})
 		}
 	}
 	in.Documents = c.documents(shard)
-	return in, version, nil
+	return in, nil
 }
 
 func (c *Controller) listed(ctx context.Context) (map[mothferry.HostID]mothferry.HostState, error) {
@@ -194,7 +206,7 @@
 }
 
 // publish writes a placement, fenced by the shard's row, and passes it on.
-func (c *Controller) publish(ctx context.Context, h mflease.Holding, p mfplacement.Record, row mothferry.Version) error {
+func (c *Controller) publish(ctx context.Context, h mflease.Holding, p mfplacement.Record, k *known) error {
 	data, err := p.Encode()
 	if err != nil {
 		return err
@@ -204,8 +216,8 @@
 	}
 	key := mfplacement.Key(h.Fence.Shard)
 	generation := []byte(strconv.FormatUint(uint64(p.Generation), 10))
-	_, err = c.Platform.Table.Commit(ctx, mothferry.Txn{
-		Checks: []mothferry.Check{h.Check, {Key: key, Version: row}},
+	version, err := c.Platform.Table.Commit(ctx, mothferry.Txn{
+		Checks: []mothferry.Check{h.Check, {Key: key, Version: k.version}},
 		Writes: []mothferry.Write{
 			{Key: key, Value: data},
 			{Key: mfplacement.GenerationKey(h.Fence.Shard), Value: generation},
@@ -222,6 +234,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	k.placement, k.version = p, version
 	c.Store.AdoptPlacement(p)
 	c.Peers.PushPlacement(ctx, p)
 	return nil
--- a/mfhost/host.go
+++ b/mfhost/host.go
@@ -37,6 +37,13 @@
 	return mothferry.Key(fmt.Sprintf("hosts/%s/", dc))
 }
 
+// ChangesKey returns the key of a data centre's row that is written with every
+// change of a host's row there, so that holders see from one small row whether
+// any host has changed.
+func ChangesKey(dc mothferry.DataCentre) mothferry.Key {
+	return mothferry.Key(fmt.Sprintf("host-changes/%s", dc))
+}
+
 // Key returns the key of the host's row.
 func (r Record) Key() mothferry.Key {
 	return Prefix(r.DataCentre) + mothferry.Key(r.Host)
