Read one host list for all shards; beat less often to other data centres

Cause: with 16 pools of 32 hosts a holder still took 64 kB/s from the platform: each shard read the whole data centre's host list. Between 24 daemons each sent and received 16.6 kB/s, as a heartbeat a quarter second went to each peer wherever it is.

Change: the host list is read once for all shards and kept for 4 intervals (1 s); heartbeats to other data centres go every 4 heartbeats (1 s), and a remote peer counts as live for as much longer.

Price: a daemon of another data centre that dies counts as live for up to 4 s; a request that spills to it fails at the session and tries the next.

--- a/mfcontrol/control.go
+++ b/mfcontrol/control.go
@@ -63,6 +63,9 @@
 	hosts        []mfhost.Record
 	hostsVersion mothferry.Version
 	hostsLoaded  bool
+	// listed is the platform's host list, and listedAt when it was read.
+	listed   map[mothferry.HostID]mothferry.HostState
+	listedAt time.Time
 }
 
 // Run plans and acts until ctx ends.
@@ -90,6 +93,10 @@
 		if now.Before(k.due) && k.revision == c.Store.Current().Revision && k.hostsVersion == c.hostsVersion {
 			continue
 		}
+		if err := c.refreshList(ctx, now); err != nil {
+			c.Log.WithError(err).Warn("Host list could not be read.")
+			return
+		}
 		if err := c.step(ctx, h, k); err != nil && ctx.Err() == nil {
 			k.forget()
 			c.Log.WithField("shard", h.Fence.Shard).WithError(err).Warn("Shard could not be brought up to its documents.")
@@ -142,10 +149,6 @@
 func (c *Controller) read(ctx context.Context, k *known) (mfplace.Input, error) {
 	shard := k.fence.Shard
 	in := mfplace.Input{Shard: shard, Epoch: k.fence.Epoch, Quiet: c.quiet, Previous: k.placement}
-	listed, err := c.listed(ctx)
-	if err != nil {
-		return in, err
-	}
 	reports, err := c.reports(ctx, shard)
 	if err != nil {
 		return in, err
@@ -153,25 +156,13 @@
 	for _, h := range c.hosts {
 		if h.Pool == shard.Pool {
 			tasks, reported := reports[h.Host]
-			in.Hosts = append(in.Hosts, mfplace.Host{Record: h, Listed: listed[h.Host], Reported: reported, Tasks: tasks})
+			in.Hosts = append(in.Hosts, mfplace.Host{Record: h, Listed: c.listed[h.Host], Reported: reported, Tasks: tasks})
 		}
 	}
 	in.Documents = c.documents(shard)
 	return in, nil
 }
 
-func (c *Controller) listed(ctx context.Context) (map[mothferry.HostID]mothferry.HostState, error) {
-	hosts, err := c.Platform.Hosts.Hosts(ctx, c.DataCentre)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	listed := map[mothferry.HostID]mothferry.HostState{}
-	for _, h := range hosts {
-		listed[h.Host] = h.State
-	}
-	return listed, nil
-}
-
 func (c *Controller) reports(ctx context.Context, s mothferry.Shard) (map[mothferry.HostID]map[mothferry.TaskID]mothferry.TaskStatus, error) {
 	reports, err := c.Platform.Workers.Reports(ctx, s)
 	if err != nil {
--- a/mfcontrol/known.go
+++ b/mfcontrol/known.go
@@ -18,6 +18,9 @@
 // requests are led around dead runners long before by the daemons themselves.
 const idleFactor = 8
 
+// listFactor is how many intervals the host list is kept for.
+const listFactor = 4
+
 // known is what a holder remembers of a shard. Only the holder writes the
 // placement, checked by the shard's row, so what it last wrote is what the row
 // holds; reading it back with each plan would cost the platform's bytes for
@@ -125,6 +128,24 @@
 	return nil
 }
 
+// refreshList reads the platform's host list, one for all shards, unless it
+// was read a moment ago. The list lags by itself; a little more does no harm,
+// and it is as long as the data centre has hosts.
+func (c *Controller) refreshList(ctx context.Context, now time.Time) error {
+	if c.listed != nil && now.Sub(c.listedAt) < listFactor*c.Interval {
+		return nil
+	}
+	hosts, err := c.Platform.Hosts.Hosts(ctx, c.DataCentre)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.listed, c.listedAt = map[mothferry.HostID]mothferry.HostState{}, now
+	for _, h := range hosts {
+		c.listed[h.Host] = h.State
+	}
+	return nil
+}
+
 func versionOf(rows []mothferry.Row, key mothferry.Key) mothferry.Version {
 	for _, r := range rows {
 		if r.Key == key {
--- /dev/null
+++ b/mfdemo/demo_test.go
@@ -0,0 +1,19 @@
+package mfdemo
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry/mfclock"
+)
+
+// TestDemo runs the demo as a newcomer would, and holds it to its own verdict.
+func TestDemo(t *testing.T) {
+	var out bytes.Buffer
+	demo := &Demo{Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Out: &out}
+	assert.NilError(t, demo.Run(t.Context()), out.String())
+	assert.Equal(t, strings.Count(out.String(), "\nheld"), 6, out.String())
+}
--- a/mfoperate/handler.go
+++ b/mfoperate/handler.go
@@ -160,7 +160,7 @@
 		p := PeerStatus{Daemon: s.Peer.Daemon, DataCentre: s.Peer.DataCentre, HeardAgoMs: -1, Revision: s.Status.Revision, Stopping: s.Status.Stopping}
 		if !s.Heard.IsZero() {
 			p.HeardAgoMs = now.Sub(s.Heard).Milliseconds()
-			p.Live = now.Sub(s.Heard) < h.PeerBound
+			p.Live = h.Mesh.IsLive(s, now, h.PeerBound)
 		}
 		peers = append(peers, p)
 	}
--- a/mfpeer/mesh.go
+++ b/mfpeer/mesh.go
@@ -47,6 +47,10 @@
 	maxRedialPause = 2 * time.Second
 	acceptBacklog  = 1024
 	spillHandshake = 5 * time.Second
+	// remoteFactor is how many times longer the interval of heartbeats to
+	// daemons of other data centres is. They share no runners; what they need
+	// to hear is who could take over requests, and which revision is in force.
+	remoteFactor = 4
 )
 
 // State is what the mesh knows of one peer.
@@ -135,18 +139,33 @@
 	return out
 }
 
-// Live returns the peers heard within bound and not stopping.
+// Live returns the peers that are not stopping and were heard within bound, or
+// within a longer one in proportion to their heartbeats if they are in other
+// data centres.
 func (m *Mesh) Live(bound time.Duration) []State {
 	now := m.Clock.Now()
 	var live []State
 	for _, s := range m.States() {
-		if !s.Heard.IsZero() && now.Sub(s.Heard) < bound && !s.Status.Stopping {
+		if m.IsLive(s, now, bound) && !s.Status.Stopping {
 			live = append(live, s)
 		}
 	}
 	return live
 }
 
+// IsLive reports whether a peer was heard within bound, as Live counts it.
+func (m *Mesh) IsLive(s State, now time.Time, bound time.Duration) bool {
+	return !s.Heard.IsZero() && now.Sub(s.Heard) < bound*time.Duration(m.factor(s.Peer))
+}
+
+// factor is how many times Heartbeat the interval to a peer is.
+func (m *Mesh) factor(p Peer) int {
+	if p.DataCentre == m.DataCentre {
+		return 1
+	}
+	return remoteFactor
+}
+
 // Changes asks a peer for the documents accepted after base.
 func (m *Mesh) Changes(ctx context.Context, peer mothferry.DaemonID, base mothferry.Revision) (mfsnapshot.Delta, error) {
 	call := &mfwire.Call{Kind: &mfwire.Call_ChangesSince{ChangesSince: &mfwire.ChangesSince{Base: uint64(base)}}}
@@ -270,7 +289,7 @@
 		case <-ctx.Done():
 		case <-session.CloseChan():
 			return
-		case <-m.Clock.After(m.Heartbeat):
+		case <-m.Clock.After(m.Heartbeat * time.Duration(m.factor(p))):
 		}
 	}
 }
--- a/mfroute/balancer_test.go
+++ b/mfroute/balancer_test.go
@@ -190,6 +190,28 @@
 	assert.Equal(t, seen, 1, "a returning runner gets one request first")
 }
 
+// TestRetryBudget: symptom, a failing service gets several times its load.
+// Second tries are bounded by a part of the first ones, after a small burst.
+func TestRetryBudget(t *testing.T) {
+	k := newBench(1, Limits{Queue: 10, WaitShare: 1, EjectShare: 0, RetryRatio: 0.2})
+	granted := 0
+	const first = 200
+	for range first {
+		k.submit("c")
+		k.release(0, ResultLost)
+		again := &Ticket{Customer: "c", Deadline: k.clock.Now().Add(time.Minute), Again: true, Retry: true}
+		again.Decide = func(l *Lease, _ error) {
+			if l != nil {
+				granted++
+				k.balancer.Release(l, ResultLost)
+			}
+		}
+		k.balancer.Submit(again)
+	}
+	assert.Assert(t, granted <= retryBurst+first/5, "%d second tries", granted)
+	assert.Assert(t, granted >= first/5)
+}
+
 // TestSlowAnswersFillARunner: symptom, a waking customer's slow requests time
 // out in the queue of idle runners. Sequence: new runners get one request each
 // and no more until the first answer, seconds later. Cause: a window that
