--- a/mfprocess/deployment_test.go
+++ b/mfprocess/deployment_test.go
@@ -155,13 +155,13 @@
 }
 
 // signal sends a signal to a daemon's process.
-func (p *process) signal(t *testing.T, s syscall.Signal) {
+func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	assert.NilError(t, p.command.Process.Signal(s))
 }
 
 // kill ends a daemon's process without warning and waits until it is gone.
-func (p *process) kill(t *testing.T) {
+func (p *process) kill(t testing.TB) {
 	t.Helper()
 	p.signal(t, syscall.SIGKILL)
 	<-p.ended
@@ -305,7 +305,7 @@
 }
 
 // put sets a switch of the stand-in.
-func (d *deployment) put(t *testing.T, path string, value any) {
+func (d *deployment) put(t testing.TB, path string, value any) {
 	t.Helper()
 	data, err := json.Marshal(value)
 	assert.NilError(t, err)
