Drain hosts and move them between pools

Cause: a host's row said which one pool it belongs to, and nothing could change it.

Change: an operator asks for a move in the host's row; the pool's holder empties the host, replacements first, and changes the pool in one transaction that checks the shard's row and the host's.

--- a/mfcommand/command.go
+++ b/mfcommand/command.go
@@ -73,6 +73,8 @@
 		applyCommand(),
 		getCommand(),
 		statusCommand(),
+		poolCommand(),
+		drainCommand(),
 		demoCommand(),
 		versionCommand(),
 	}
--- a/mfcontrol/control.go
+++ b/mfcontrol/control.go
@@ -16,7 +16,6 @@
 	"mothferry"
 	"mothferry/mfclock"
 	"mothferry/mfdocument"
-	"mothferry/mfhost"
 	"mothferry/mflease"
 	"mothferry/mfpeer"
 	"mothferry/mfplace"
@@ -59,8 +58,8 @@
 
 	// Only Run uses the fields below.
 	shards map[mothferry.PoolID]*known
-	// hosts are the records of this data centre's hosts as of hostsVersion.
-	hosts        []mfhost.Record
+	// hosts are the rows of this data centre's hosts as of hostsVersion.
+	hosts        []hostRow
 	hostsVersion mothferry.Version
 	hostsLoaded  bool
 	// listed is the platform's host list, and listedAt when it was read.
@@ -140,8 +139,11 @@
 	for service, n := range out.Unplaced {
 		c.Log.WithField("service", service).WithField("runners", n).WithField("shard", h.Fence.Shard).Warn("No host has room.")
 	}
-	k.schedule(c.Clock.Now(), c.Interval, settled(out))
-	return c.act(ctx, h.Fence, out)
+	k.schedule(c.Clock.Now(), c.Interval, settled(out) && !moving(in.Hosts))
+	if err := c.act(ctx, h.Fence, out); err != nil {
+		return err
+	}
+	return c.releaseEmpty(ctx, h, in.Hosts, out)
 }
 
 // read gathers what a plan depends on. The hosts and the placement come from
@@ -154,9 +156,9 @@
 		return in, err
 	}
 	for _, h := range c.hosts {
-		if h.Pool == shard.Pool {
-			tasks, reported := reports[h.Host]
-			in.Hosts = append(in.Hosts, mfplace.Host{Record: h, Listed: c.listed[h.Host], Reported: reported, Tasks: tasks})
+		if h.record.Pool == shard.Pool {
+			tasks, reported := reports[h.record.Host]
+			in.Hosts = append(in.Hosts, mfplace.Host{Record: h.record, Listed: c.listed[h.record.Host], Reported: reported, Tasks: tasks})
 		}
 	}
 	in.Documents = c.documents(shard)
@@ -164,7 +166,13 @@
 }
 
 func (c *Controller) reports(ctx context.Context, s mothferry.Shard) (map[mothferry.HostID]map[mothferry.TaskID]mothferry.TaskStatus, error) {
-	reports, err := c.Platform.Workers.Reports(ctx, s)
+	var hosts []mothferry.HostID
+	for _, h := range c.hosts {
+		if h.record.Pool == s.Pool {
+			hosts = append(hosts, h.record.Host)
+		}
+	}
+	reports, err := c.Platform.Workers.Reports(ctx, s.DataCentre, hosts)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/mfcontrol/known.go
+++ b/mfcontrol/known.go
@@ -113,7 +113,7 @@
 	if rows, err = c.Platform.Table.Read(ctx, query); err != nil {
 		return trace.Wrap(err)
 	}
-	var hosts []mfhost.Record
+	var hosts []hostRow
 	for _, r := range rows {
 		if r.Key == key {
 			continue
@@ -122,7 +122,7 @@
 		if err != nil {
 			return err
 		}
-		hosts = append(hosts, record)
+		hosts = append(hosts, hostRow{record: record, version: r.Version})
 	}
 	c.hosts, c.hostsVersion, c.hostsLoaded = hosts, versionOf(rows, key), true
 	return nil
--- a/mfdaemon/daemon.go
+++ b/mfdaemon/daemon.go
@@ -21,6 +21,7 @@
 	"mothferry/mfcontrol"
 	"mothferry/mfentry"
 	"mothferry/mffollow"
+	"mothferry/mfhost"
 	"mothferry/mflease"
 	"mothferry/mfledger"
 	"mothferry/mflog"
@@ -243,7 +244,7 @@
 	d.operate = &mfoperate.Handler{
 		Daemon: s.Daemon, DataCentre: s.DataCentre, Store: d.store,
 		Accepter: &mfchange.Accepter{Table: d.platform.Table, Clock: d.Clock},
-		Follower: d.follower, Mesh: d.mesh, Leases: d.keeper, Clock: d.Clock, PeerBound: d.peerBound(), Ready: d.ready,
+		Follower: d.follower, Mesh: d.mesh, Leases: d.keeper, Hosts: &mfhost.Changer{Table: d.platform.Table}, Clock: d.Clock, PeerBound: d.peerBound(), Ready: d.ready,
 		Metrics: promhttp.HandlerFor(d.metrics.Registry, promhttp.HandlerOpts{}), Log: d.Logs.Part("operate"),
 	}
 	d.operators = &http.Server{Handler: d.operate.Mux(), ReadHeaderTimeout: headerTimeout}
--- a/mfhost/host.go
+++ b/mfhost/host.go
@@ -30,6 +30,10 @@
 	Pool       mothferry.PoolID     `json:"pool"`
 	State      State                `json:"state"`
 	Capacity   mothferry.Resources  `json:"capacity"`
+	// MoveTo is the pool that the host goes to once it is empty; none if empty.
+	MoveTo mothferry.PoolID `json:"move_to,omitempty"`
+	// Author is who last asked for a change of the host.
+	Author string `json:"author,omitempty"`
 }
 
 // Prefix returns the key prefix of all hosts of a data centre.
--- a/mfoperate/client.go
+++ b/mfoperate/client.go
@@ -51,14 +51,14 @@
 // Status returns the daemon's status.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
-	err := c.getJSON(ctx, "/v1/status", &s)
+	err := c.callJSON(ctx, http.MethodGet, "/v1/status", &s)
 	return s, err
 }
 
 // Placements returns the placements of the daemon's data centre.
 func (c *Client) Placements(ctx context.Context) ([]mfplacement.Record, error) {
 	var records []mfplacement.Record
-	err := c.getJSON(ctx, "/v1/placements", &records)
+	err := c.callJSON(ctx, http.MethodGet, "/v1/placements", &records)
 	return records, err
 }
 
@@ -93,8 +93,8 @@
 	return reply.Revision, nil
 }
 
-func (c *Client) getJSON(ctx context.Context, path string, into any) error {
-	data, _, err := c.send(ctx, http.MethodGet, path, "")
+func (c *Client) callJSON(ctx context.Context, method, path string, into any) error {
+	data, _, err := c.send(ctx, method, path, "")
 	if err != nil {
 		return err
 	}
--- a/mfoperate/handler.go
+++ b/mfoperate/handler.go
@@ -17,6 +17,7 @@
 	"mothferry/mfchange"
 	"mothferry/mfdocument"
 	"mothferry/mffollow"
+	"mothferry/mfhost"
 	"mothferry/mflease"
 	"mothferry/mfpeer"
 	"mothferry/mfplacement"
@@ -51,6 +52,7 @@
 	Follower   *mffollow.Follower
 	Mesh       *mfpeer.Mesh
 	Leases     Leases
+	Hosts      *mfhost.Changer
 	Clock      mothferry.Clock
 	// PeerBound is how long ago a peer may have been heard to count as live.
 	PeerBound time.Duration
@@ -71,6 +73,9 @@
 	mux.HandleFunc("GET /v1/documents/{service}", h.getDocument)
 	mux.HandleFunc("PUT /v1/documents/{service}", h.putDocument)
 	mux.HandleFunc("GET /v1/placements", h.placements)
+	mux.HandleFunc("GET /v1/hosts", h.listHosts)
+	mux.HandleFunc("POST /v1/hosts/{host}/move", h.moveHost)
+	mux.HandleFunc("POST /v1/hosts/{host}/drain", h.drainHost)
 	return mux
 }
 
@@ -283,6 +288,7 @@
 const (
 	kindInvalid  = "invalid"
 	kindConflict = "conflict"
+	kindMoving   = "host_moving"
 	kindNotFound = "not_found"
 	kindInternal = "internal"
 )
@@ -322,6 +328,7 @@
 	var conflict *mothferry.ErrDocumentConflict
 	var missing *mothferry.ErrNotFound
 	var unavailable *mothferry.ErrUnavailable
+	var moving *mfhost.ErrMoving
 	body := failed{Detail: trace.UserMessage(err)}
 	switch {
 	case errors.As(err, &invalid):
@@ -335,6 +342,9 @@
 		body.Edited, body.Current = conflict.Edited, conflict.Current
 		body.Author, body.Time, body.Difference = conflict.Author, conflict.Time, conflict.Difference
 		return http.StatusConflict, body
+	case errors.As(err, &moving):
+		body.Kind = kindMoving
+		return http.StatusConflict, body
 	case errors.As(err, &missing):
 		body.Kind = kindNotFound
 		return http.StatusNotFound, body
--- a/mfplatform/client.go
+++ b/mfplatform/client.go
@@ -63,10 +63,10 @@
 }
 
 // Reports implements mothferry.WorkerAPI.
-func (c *Client) Reports(ctx context.Context, shard mothferry.Shard) ([]mothferry.WorkerReport, error) {
+func (c *Client) Reports(ctx context.Context, dc mothferry.DataCentre, hosts []mothferry.HostID) ([]mothferry.WorkerReport, error) {
 	var reply []workerReport
-	path := pathWorkers + url.PathEscape(string(shard.DataCentre)) + "/" + url.PathEscape(string(shard.Pool))
-	err := c.call(ctx, http.MethodGet, path, nil, &reply)
+	path := pathWorkers + url.PathEscape(string(dc)) + "/reports"
+	err := c.call(ctx, http.MethodPost, path, reportsRequest{Hosts: hosts}, &reply)
 	var reports []mothferry.WorkerReport
 	for _, r := range reply {
 		report := mothferry.WorkerReport{Host: r.Host}
--- a/mfplatform/handler.go
+++ b/mfplatform/handler.go
@@ -19,7 +19,7 @@
 	mux.HandleFunc("GET "+pathObjects+"{name}", s.getObject)
 	mux.HandleFunc("PUT "+pathObjects+"{name}", s.putObject)
 	mux.HandleFunc("GET "+pathHosts+"{dc}", s.hosts)
-	mux.HandleFunc("GET "+pathWorkers+"{dc}/{pool}", s.reports)
+	mux.HandleFunc("POST "+pathWorkers+"{dc}/reports", s.reports)
 	mux.HandleFunc("POST "+pathWorkers+"{host}/start", s.start)
 	mux.HandleFunc("POST "+pathWorkers+"{host}/stop", s.stop)
 	mux.HandleFunc("POST "+pathWorkers+"{host}/drain", s.drain)
@@ -83,11 +83,11 @@
 }
 
 func (s *server) reports(w http.ResponseWriter, r *http.Request) {
-	shard := mothferry.Shard{
-		DataCentre: mothferry.DataCentre(r.PathValue("dc")),
-		Pool:       mothferry.PoolID(r.PathValue("pool")),
+	var q reportsRequest
+	if !decode(w, r, &q) {
+		return
 	}
-	reports, err := s.platform.Workers.Reports(r.Context(), shard)
+	reports, err := s.platform.Workers.Reports(r.Context(), mothferry.DataCentre(r.PathValue("dc")), q.Hosts)
 	out := []workerReport{}
 	for _, k := range reports {
 		report := workerReport{Host: k.Host}
--- a/mfplatform/wire.go
+++ b/mfplatform/wire.go
@@ -81,6 +81,10 @@
 	Tasks []taskStatus     `json:"tasks"`
 }
 
+type reportsRequest struct {
+	Hosts []mothferry.HostID `json:"hosts"`
+}
+
 type fence struct {
 	DataCentre mothferry.DataCentre `json:"data_centre"`
 	Pool       mothferry.PoolID     `json:"pool"`
--- a/mfstandin/worker.go
+++ b/mfstandin/worker.go
@@ -154,17 +154,17 @@
 }
 
 // Reports implements mothferry.WorkerAPI.
-func (w *Workers) Reports(_ context.Context, shard mothferry.Shard) ([]mothferry.WorkerReport, error) {
+func (w *Workers) Reports(_ context.Context, dc mothferry.DataCentre, hosts []mothferry.HostID) ([]mothferry.WorkerReport, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	var reports []mothferry.WorkerReport
-	for id, k := range w.workers {
-		if k.faults.Dead || k.record.DataCentre != shard.DataCentre || k.record.Pool != shard.Pool {
+	for _, id := range hosts {
+		k, ok := w.workers[id]
+		if !ok || k.faults.Dead || k.record.DataCentre != dc {
 			continue
 		}
 		reports = append(reports, mothferry.WorkerReport{Host: id, Tasks: k.statuses()})
 	}
-	sort.Slice(reports, func(i, j int) bool { return reports[i].Host < reports[j].Host })
 	return reports, nil
 }
 
--- a/platform.go
+++ b/platform.go
@@ -124,7 +124,8 @@
 // by task id and fail with ErrFenced once the worker has seen a larger epoch
 // for the shard.
 type WorkerAPI interface {
-	Reports(ctx context.Context, shard Shard) ([]WorkerReport, error)
+	// Reports returns what the named workers of a data centre last said.
+	Reports(ctx context.Context, dc DataCentre, hosts []HostID) ([]WorkerReport, error)
 	Start(ctx context.Context, host HostID, fence Fence, task TaskSpec) error
 	Stop(ctx context.Context, host HostID, fence Fence, task TaskID) error
 }
