--- a/mfchange/change.go
+++ b/mfchange/change.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -90,7 +91,16 @@
 	if row, ok := found[tokenKey]; ok {
 		return parseRevision(row.Value)
 	}
-	if err := checkBase(c, found[documentKey]); err != nil {
+	inForce, err := recordOf(found[documentKey])
+	if err != nil {
+		return 0, err
+	}
+	if inForce.Revision > 0 && reflect.DeepEqual(inForce.Document, c.Document) {
+		// The document says nothing new: whoever applies it from version
+		// control again has what it wants, and no revision is spent on it.
+		return inForce.Revision, nil
+	}
+	if err := checkBase(c, inForce); err != nil {
 		return 0, err
 	}
 	revision, err := revisionOf(found[RevisionKey])
@@ -119,36 +129,28 @@
 	return revision, trace.Wrap(err)
 }
 
-// checkBase refuses a change whose document was changed since it was read.
-func checkBase(c Change, row mothferry.Row) error {
+// recordOf returns the record in a document's row, the zero record if the row is absent.
+func recordOf(row mothferry.Row) (mfdocument.Record, error) {
 	if row.Version == 0 {
-		if c.Base == 0 {
-			return nil
-		}
-		return trace.Wrap(&mothferry.ErrNotFound{Kind: "service document", Name: string(c.Document.Service)})
+		return mfdocument.Record{}, nil
 	}
-	record, err := mfdocument.DecodeRecord(row.Value)
-	if err != nil {
-		return err
-	}
-	if record.Revision == c.Base {
+	return mfdocument.DecodeRecord(row.Value)
+}
+
+// checkBase refuses a change whose document was changed since it was read.
+func checkBase(c Change, inForce mfdocument.Record) error {
+	if inForce.Revision == c.Base {
 		return nil
 	}
+	if inForce.Revision == 0 {
+		return trace.Wrap(&mothferry.ErrNotFound{Kind: "service document", Name: string(c.Document.Service)})
+	}
 	return trace.Wrap(&mothferry.ErrDocumentConflict{
-		Service: c.Document.Service, Edited: c.Base, Current: record.Revision,
-		Author: record.Author, Time: record.Time, Difference: mfdocument.Difference(record.Document, c.Document),
+		Service: c.Document.Service, Edited: c.Base, Current: inForce.Revision,
+		Author: inForce.Author, Time: inForce.Time, Difference: mfdocument.Difference(inForce.Document, c.Document),
 	})
 }
 
-// Poll reads the revision row alone.
-func Poll(ctx context.Context, table mothferry.Table) (mothferry.Revision, error) {
-	rows, err := table.Read(ctx, mothferry.Query{Keys: []mothferry.Key{RevisionKey}})
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	return revisionOf(byKey(rows)[RevisionKey])
-}
-
 // ReadAll returns every document as of one moment. A document that cannot be
 // read fails the whole: nothing is adopted in part.
 func ReadAll(ctx context.Context, table mothferry.Table) (mfsnapshot.Delta, error) {
--- a/mfchange/change_test.go
+++ b/mfchange/change_test.go
@@ -41,6 +41,20 @@
 	assert.Equal(t, delta.Revision, mothferry.Revision(1))
 }
 
+// TestSameDocumentAgain: a document that says nothing new is accepted without
+// a new revision, whatever revision it was edited from.
+func TestSameDocumentAgain(t *testing.T) {
+	table := mffake.NewTable(mfclock.System{})
+	accepter := &Accepter{Table: table, Clock: mfclock.System{}}
+	for i := range 3 {
+		c := change("s", 0, "ann", 1)
+		c.Token = mothferry.Token(fmt.Sprint("token-", i))
+		revision, err := accepter.Accept(t.Context(), c)
+		assert.NilError(t, err)
+		assert.Equal(t, revision, mothferry.Revision(1))
+	}
+}
+
 // TestOperatorsRace: two operators edit the same revision. One is accepted;
 // the other is told who changed what, and nothing of its change is in force.
 func TestOperatorsRace(t *testing.T) {
@@ -95,7 +109,7 @@
 func TestRevisionsAreDense(t *testing.T) {
 	mffake.Check(t, func(t *rapid.T) {
 		table := mffake.NewTable(mfclock.System{})
-		accepter := &Accepter{Table: table, Clock: instant{}}
+		accepter := &Accepter{Table: table, Clock: mffake.Instant{}}
 		latest := map[mothferry.ServiceID]mothferry.Revision{}
 		var highest mothferry.Revision
 		for i := range rapid.IntRange(1, 15).Draw(t, "changes") {
@@ -127,16 +141,6 @@
 	})
 }
 
-// instant is the system's clock with timers that fire at once.
-type instant struct{ mfclock.System }
-
-// After implements mothferry.Clock.
-func (instant) After(time.Duration) <-chan time.Time {
-	c := make(chan time.Time, 1)
-	c <- time.Now()
-	return c
-}
-
 // TestReadAllAdoptsNothingInPart: a row that cannot be read, or that is newer
 // than the revision it was read with, fails the whole.
 func TestReadAllAdoptsNothingInPart(t *testing.T) {
--- a/mfcontrol/control.go
+++ b/mfcontrol/control.go
@@ -17,6 +17,7 @@
 	"mothferry/mfclock"
 	"mothferry/mfdocument"
 	"mothferry/mflease"
+	"mothferry/mflog"
 	"mothferry/mfpeer"
 	"mothferry/mfplace"
 	"mothferry/mfplacement"
@@ -65,11 +66,13 @@
 	// listed is the platform's host list, and listedAt when it was read.
 	listed   map[mothferry.HostID]mothferry.HostState
 	listedAt time.Time
+	failures mflog.Episode
 }
 
 // Run plans and acts until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.shards = map[mothferry.PoolID]*known{}
+	c.failures = mflog.Episode{Log: c.Log}
 	for {
 		if holdings := c.Leases.Holdings(); len(holdings) > 0 {
 			c.round(ctx, holdings)
@@ -83,9 +86,10 @@
 // round brings the shards that are due one plan further.
 func (c *Controller) round(ctx context.Context, holdings []mflease.Holding) {
 	if err := c.refreshHosts(ctx); err != nil {
-		c.Log.WithError(err).Warn("Hosts could not be read.")
+		c.failures.Failed(err, "Hosts cannot be read.")
 		return
 	}
+	c.failures.Succeeded("Hosts can be read again.")
 	now := c.Clock.Now()
 	for _, h := range holdings {
 		k := c.remembered(h)
--- a/mfdocument/document.go
+++ b/mfdocument/document.go
@@ -121,6 +121,11 @@
 	return strconv.AppendFloat(nil, float64(c)/1000, 'f', -1, 64), nil
 }
 
+// MarshalYAML implements yaml.Marshaler: a plain number, without quotes.
+func (c Cores) MarshalYAML() (any, error) {
+	return float64(c) / 1000, nil
+}
+
 // Memory is an amount of memory, written with a unit such as 512MiB.
 type Memory mothferry.Bytes
 
--- a/mffake/fake.go
+++ b/mffake/fake.go
@@ -62,6 +62,19 @@
 	c.timers = waiting
 }
 
+// Instant is the system's clock with timers that fire at once.
+type Instant struct{}
+
+// Now implements mothferry.Clock.
+func (Instant) Now() time.Time { return time.Now() }
+
+// After implements mothferry.Clock.
+func (Instant) After(time.Duration) <-chan time.Time {
+	c := make(chan time.Time, 1)
+	c <- time.Now()
+	return c
+}
+
 // ErrFake is the cause of every failure that a Table makes.
 var ErrFake = errors.New("fake failure")
 
--- a/mffollow/follower.go
+++ b/mffollow/follower.go
@@ -18,6 +18,7 @@
 	"mothferry"
 	"mothferry/mfchange"
 	"mothferry/mfclock"
+	"mothferry/mflog"
 	"mothferry/mfpeer"
 	"mothferry/mfplacement"
 	"mothferry/mfroute"
@@ -130,10 +131,15 @@
 }
 
 func (f *Follower) poll(ctx context.Context) {
+	failures := mflog.Episode{Log: f.Log}
 	for round := 0; ; round++ {
 		if round%slowFactor == 0 || f.pollsOften() {
-			if err := f.readTable(ctx); err != nil && ctx.Err() == nil {
-				f.Log.WithError(err).Warn("Platform's table could not be read.")
+			err := f.readTable(ctx)
+			switch {
+			case err == nil:
+				failures.Succeeded("Platform's table can be read again.")
+			case ctx.Err() == nil:
+				failures.Failed(err, "Platform's table cannot be read.")
 			}
 		}
 		if !mfclock.Sleep(ctx, f.Clock, f.Poll) {
--- a/mflease/keeper.go
+++ b/mflease/keeper.go
@@ -14,6 +14,7 @@
 
 	"mothferry"
 	"mothferry/mfclock"
+	"mothferry/mflog"
 	"mothferry/mfroute"
 )
 
@@ -55,9 +56,14 @@
 // Run keeps the lease until ctx ends, then gives it back.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.watches = map[mothferry.DaemonID]watch{}
+	failures := mflog.Episode{Log: k.Log}
 	for {
-		if err := k.round(ctx); err != nil && ctx.Err() == nil {
-			k.Log.WithError(err).Warn("Lease round failed.")
+		err := k.round(ctx)
+		switch {
+		case err == nil:
+			failures.Succeeded("Lease can be kept again.")
+		case ctx.Err() == nil:
+			failures.Failed(err, "Lease cannot be kept.")
 		}
 		if !mfclock.Sleep(ctx, k.Clock, k.Lease/(2*renewPart)) {
 			k.resign()
--- a/mfledger/ledger_test.go
+++ b/mfledger/ledger_test.go
@@ -124,7 +124,7 @@
 // sent has to be taken back.
 func TestClaimWithdrawn(t *testing.T) {
 	table := mffake.NewTable(mfclock.System{})
-	l := started(t, table, instant{})
+	l := started(t, table, mffake.Instant{})
 	table.LoseReplies(1)
 	ctx, cancel := context.WithCancel(t.Context())
 	lost := &losing{Table: table, cancel: cancel}
@@ -151,15 +151,6 @@
 	return l.Table.Commit(ctx, txn)
 }
 
-// instant is the system's clock with timers that fire at once.
-type instant struct{ mfclock.System }
-
-func (instant) After(time.Duration) <-chan time.Time {
-	c := make(chan time.Time, 1)
-	c <- time.Now()
-	return c
-}
-
 // TestLateDeleteMissesNewClaim: symptom, a keyed request runs twice. Sequence:
 // a claim is given back, the delete's reply is lost and it is sent again; in
 // between the caller's repeat claims the key and runs; the second delete
--- a/mfpeer/call.go
+++ b/mfpeer/call.go
@@ -159,7 +159,7 @@
 			return failure(err.Error())
 		}
 		m.Node.Pushed(from, delta)
-		return ack()
+		return &mfwire.Reply{Kind: &mfwire.Reply_Status{Status: m.statusFor(from)}}
 	case *mfwire.Call_PlacementOf:
 		return m.answerPlacement(mothferry.PoolID(k.PlacementOf.GetPool()))
 	case *mfwire.Call_Placement:
--- a/mfpeer/mesh.go
+++ b/mfpeer/mesh.go
@@ -206,8 +206,9 @@
 	return status.wire()
 }
 
-// Push sends newly accepted documents to every peer, without waiting for all:
-// a peer that misses them learns the revision from the next heartbeat.
+// Push sends newly accepted documents to every peer and waits for their
+// replies, which tell what each has in force. A peer that misses the push
+// learns the revision from the next heartbeat.
 func (m *Mesh) Push(ctx context.Context, d mfsnapshot.Delta) {
 	changes, err := changesOf(d)
 	if err != nil {
@@ -236,8 +237,13 @@
 			continue
 		}
 		group.Go(func() {
-			if _, err := m.call(ctx, p.Daemon, &mfwire.Call{Kind: kind.GetKind()}); err != nil {
+			reply, err := m.call(ctx, p.Daemon, &mfwire.Call{Kind: kind.GetKind()})
+			if err != nil {
 				m.Log.WithField("peer", p.Daemon).WithError(err).Debug("Push failed.")
+				return
+			}
+			if status := reply.GetStatus(); status != nil {
+				m.heard(p, status)
 			}
 		})
 	}
