Never tell not_run once any try may have run the request

Cause, found by reading: a request that may be repeated was cut off at one runner and then refused by the next, or found none to connect to; its end was that of the last try, not_run, though the first may have run it. A key used for other content was ignored where the request may be repeated, as every failed claim was taken for a table that is out. Both tests failed first: two new cases of TestUpstreamFaults (503 instead of 502), and TestKeyMismatchIsAlwaysRefused (200 instead of 422).

Change: the first failure that may have run the request decides its end. An unknown end that a peer reports is counted as unknown, not as answered.

--- a/mfentry/answer.go
+++ b/mfentry/answer.go
@@ -99,7 +99,7 @@
 	if a.whole() {
 		a.settle(mfroute.ResultAnswered)
 		h.sendWhole(w, q, a)
-		h.Observer.Ended(q.service, mothferry.EndAnswered, "", h.Clock.Now().Sub(began))
+		h.Observer.Ended(q.service, mothferry.End(header.Get(mothferry.HeaderEnd)), mothferry.Reason(header.Get(mothferry.HeaderReason)), h.Clock.Now().Sub(began))
 		return
 	}
 	w.WriteHeader(a.status)
--- a/mfentry/dispatch.go
+++ b/mfentry/dispatch.go
@@ -24,32 +24,58 @@
 // spillTries bounds the peers that are asked to take over one request.
 const spillTries = 2
 
+// attempts is what became of a request's tries so far.
+type attempts struct {
+	// tried are the runners that are not to be tried again.
+	tried map[mothferry.TaskID]bool
+	last  *failure
+	// ran is the first failure after which the request may have run.
+	ran *failure
+}
+
+func (a *attempts) add(task mothferry.TaskID, f *failure) {
+	a.last = f
+	if a.ran == nil && !f.notRun {
+		a.ran = f
+	}
+	if f.result != mfroute.ResultBusy {
+		a.tried[task] = true
+	}
+}
+
+// told returns the failure that ends the request; nil if nothing was tried. A
+// try that may have run the request outweighs every later one: a request that
+// may be repeated, was cut off at one runner and refused by the next, is not
+// one that did not run.
+func (a *attempts) told() *failure {
+	if a.ran != nil {
+		return a.ran
+	}
+	return a.last
+}
+
 // dispatch brings a request to an answer, or to an ErrNotRun or ErrOutcomeUnknown.
 func (h *Handler) dispatch(ctx context.Context, q *request) (*answer, error) {
-	tried := map[mothferry.TaskID]bool{}
-	var last *failure
+	past := &attempts{tried: map[mothferry.TaskID]bool{}}
 	for try := range maxTries {
 		h.confirmed(ctx)
 		lease, err := h.Router.Acquire(ctx, q.service, mfroute.Request{
-			Customer: q.customer, Priority: q.priority, Exclude: tried,
-			Again: try > 0, Retry: last != nil && last.reason != mothferry.ReasonRefused,
+			Customer: q.customer, Priority: q.priority, Exclude: past.tried,
+			Again: try > 0, Retry: try > 0 && past.last.reason != mothferry.ReasonRefused,
 		})
 		if err != nil {
-			return h.withoutRunner(ctx, q, last, err)
+			return h.withoutRunner(ctx, q, past, err)
 		}
 		a, f := h.try(ctx, q, lease)
 		if f == nil {
 			return a, nil
 		}
-		last = f
-		if f.result != mfroute.ResultBusy {
-			tried[lease.Task] = true
-		}
+		past.add(lease.Task, f)
 		if ctx.Err() != nil || !q.mayTryAgain(f) {
 			break
 		}
 	}
-	return nil, h.ended(last)
+	return nil, h.ended(past.told())
 }
 
 // mayTryAgain reports whether a request may be sent once more: it provably
@@ -123,20 +149,20 @@
 // withoutRunner ends a request for which no runner of this data centre was
 // had: another data centre may serve it. If nothing replaces an earlier
 // failure, that failure is what the caller is told.
-func (h *Handler) withoutRunner(ctx context.Context, q *request, last *failure, err error) (*answer, error) {
+func (h *Handler) withoutRunner(ctx context.Context, q *request, past *attempts, err error) (*answer, error) {
 	var refusal *mothferry.ErrNotRun
 	noRunner := errors.As(err, &refusal) && refusal.Reason == mothferry.ReasonNoRunner
-	if noRunner && q.hops == 0 && (last == nil || q.mayTryAgain(last)) {
+	if noRunner && q.hops == 0 && (past.last == nil || q.mayTryAgain(past.last)) {
 		a, f := h.spill(ctx, q)
 		if f == nil {
 			return a, nil
 		}
-		if !f.notRun {
+		if !f.notRun && past.ran == nil {
 			return nil, h.ended(f)
 		}
 	}
-	if last != nil {
-		return nil, h.ended(last)
+	if told := past.told(); told != nil {
+		return nil, h.ended(told)
 	}
 	return nil, err
 }
--- a/mfentry/handler.go
+++ b/mfentry/handler.go
@@ -136,7 +136,7 @@
 	case recorded != nil:
 		h.replay(w, q, recorded, began)
 		return
-	case err != nil && !q.repeatable:
+	case err != nil && (!q.repeatable || isMismatch(err)):
 		h.endWithout(w, r, q, began, h.claimFailed(err))
 		return
 	}
@@ -187,12 +187,18 @@
 	if !errors.As(err, &taken) {
 		return &mothferry.ErrNotRun{Reason: mothferry.ReasonLedgerDown, RetryAfter: h.comeBack(), Err: err}
 	}
-	if taken.Reason == mothferry.ReasonKeyMismatch {
+	if isMismatch(err) {
 		return &mothferry.ErrNotRun{Reason: taken.Reason, Err: err}
 	}
 	return &retryable{ErrOutcomeUnknown: &mothferry.ErrOutcomeUnknown{Reason: taken.Reason, Err: err}, after: taken.RetryAfter}
 }
 
+// isMismatch reports a key that was used for a request with other content.
+func isMismatch(err error) bool {
+	var taken *mfledger.ErrTaken
+	return errors.As(err, &taken) && taken.Reason == mothferry.ReasonKeyMismatch
+}
+
 // retryable is an unknown outcome that will be known later.
 type retryable struct {
 	*mothferry.ErrOutcomeUnknown
--- a/mfentry/handler_test.go
+++ b/mfentry/handler_test.go
@@ -239,6 +239,9 @@
 		{"connect refused, then another", []string{refusing.Addr().String(), good}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultConnectFailed},
 		{"cut after the request", []string{closed, good}, "POST", "/x", 502, mothferry.EndUnknown, mothferry.ReasonConnectionLost, mfroute.ResultLost},
 		{"cut, but may be repeated", []string{closed, good}, "GET", "/safe/x", 200, mothferry.EndAnswered, "", mfroute.ResultLost},
+		{"may be repeated, cut, then connect refused", []string{closed, refusing.Addr().String()}, "GET", "/safe/x", 502, mothferry.EndUnknown, mothferry.ReasonConnectionLost, mfroute.ResultLost},
+		{"may be repeated, cut, then busy everywhere", []string{closed, busy}, "GET", "/safe/x", 502, mothferry.EndUnknown, mothferry.ReasonConnectionLost, mfroute.ResultLost},
+		{"may be repeated, cut, then no runner", []string{closed}, "GET", "/safe/x", 502, mothferry.EndUnknown, mothferry.ReasonConnectionLost, mfroute.ResultLost},
 		{"busy", []string{busy, good}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultBusy},
 		{"busy everywhere", []string{busy}, "POST", "/x", 503, mothferry.EndNotRun, mothferry.ReasonRefused, mfroute.ResultBusy},
 		{"leaving", []string{leaving, good}, "POST", "/x", 200, mothferry.EndAnswered, "", mfroute.ResultLeaving},
@@ -267,6 +270,29 @@
 	}
 }
 
+// TestKeyMismatchIsAlwaysRefused: symptom, a key that was used for other content
+// is ignored where the request may be repeated. Cause: taking every failed
+// claim of such a request for a table that is out.
+func TestKeyMismatchIsAlwaysRefused(t *testing.T) {
+	good := scripted(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for {
+			if _, err := readRequest(reader); err != nil {
+				return
+			}
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	_, _, url := entry(t, good)
+	keyed := map[string]string{"Idempotency-Key": "k", "Mothferry-Customer": "c"}
+	_, _, err := do(t, "GET", url+"/s/safe/x", "", keyed)
+	assert.NilError(t, err)
+	response, _, err := do(t, "GET", url+"/s/safe/other", "", keyed)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusUnprocessableEntity)
+	assert.Equal(t, response.Header.Get(mothferry.HeaderEnd), string(mothferry.EndNotRun))
+}
+
 // TestCallerFaults gives each unservable request its clear end, before any
 // upstream sees it.
 func TestCallerFaults(t *testing.T) {
