Give each peer its part of the time for comparing placements

Cause, found by reading: a daemon compares its placements with one peer after the other within one bound, beginning with the same one until it replies. If that one is frozen it uses up the bound, no other is asked, and the placements count as confirmed although nobody confirmed them: a daemon that resumes from a pause would send work to runners that left.

TestFrozenPeerHidesNoOther failed first. Now each peer, and the table, has its part of the bound, and the turn moves on whether the peer replied or not.

--- a/mffollow/fresh.go
+++ b/mffollow/fresh.go
@@ -41,26 +41,38 @@
 // catchUp asks the peers of this data centre, beginning with another one each
 // time, until one replies, and adopts what it has newer. If none replies it
 // asks the table. It is bounded, so that an unreachable peer does not keep a
-// daemon that serves from confirming what it knows.
+// daemon that serves from confirming what it knows; and each peer has its part
+// of the time, so that a frozen one does not use up that of the others.
 func (f *Follower) catchUp(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, f.Bound)
-	defer cancel()
 	near := f.nearPeers()
-	for i := range near {
-		p := near[(i+f.turn)%len(near)]
-		status, err := f.Mesh.Exchange(ctx, p)
-		if err != nil {
-			continue
+	part := f.Bound / time.Duration(len(near)+1)
+	for range near {
+		p := near[f.turn%len(near)]
+		f.turn++
+		if f.compare(ctx, p, part) {
+			return
 		}
-		f.turn = (i + f.turn + 1) % len(near)
-		f.adoptNewer(ctx, p, status)
-		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, part)
+	defer cancel()
 	if err := f.readTable(ctx); err != nil && ctx.Err() == nil {
 		f.Log.WithError(err).Debug("Neither peers nor the platform can be reached.")
 	}
 }
 
+// compare swaps heartbeats with a peer, adopts what it has newer, and reports
+// whether the peer replied in time.
+func (f *Follower) compare(ctx context.Context, p mfpeer.Peer, bound time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	status, err := f.Mesh.Exchange(ctx, p)
+	if err != nil {
+		return false
+	}
+	f.adoptNewer(ctx, p, status)
+	return true
+}
+
 func (f *Follower) nearPeers() []mfpeer.Peer {
 	var near []mfpeer.Peer
 	for _, p := range f.Mesh.Peers {
--- /dev/null
+++ b/mffollow/fresh_test.go
@@ -0,0 +1,78 @@
+package mffollow
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mffake"
+	"mothferry/mflog"
+	"mothferry/mfpeer"
+	"mothferry/mfplacement"
+	"mothferry/mfsnapshot"
+)
+
+// listen opens a loopback listener for a test.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// follower returns a follower with a running mesh to the given peers.
+func follower(t *testing.T, name mothferry.DaemonID, listener net.Listener, peers ...mfpeer.Peer) *Follower {
+	t.Helper()
+	table := mffake.NewTable(mfclock.System{})
+	table.SetDown(true)
+	f := &Follower{
+		Self: name, DataCentre: "dc1", Clock: mfclock.System{}, Table: table, Store: mfsnapshot.NewStore(),
+		Poll: time.Hour, Heartbeat: time.Hour, Bound: 6 * time.Second, Log: mflog.Discard(),
+	}
+	f.Prepare(mfclock.SystemRandom{})
+	f.Mesh = &mfpeer.Mesh{
+		Self: name, DataCentre: "dc1", Listener: listener, Peers: peers, Heartbeat: time.Hour, Connect: time.Minute,
+		Timeout: time.Minute, Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Node: f, Log: mflog.Discard(),
+	}
+	f.Mesh.Prepare()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = f.Mesh.Run(ctx) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return f
+}
+
+// TestFrozenPeerHidesNoOther: symptom, a daemon that resumes from a pause sends
+// work to a runner that left. Sequence: of its two peers the one that it asks
+// first is frozen; the question uses up all the time for comparing, the other
+// peer is not asked, and the daemon takes its old placements for confirmed.
+// Cause: one bound for all peers together.
+func TestFrozenPeerHidesNoOther(t *testing.T) {
+	frozen, awake, own := listen(t), listen(t), listen(t)
+	peer := func(name mothferry.DaemonID, l net.Listener) mfpeer.Peer {
+		return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: l.Addr().String()}
+	}
+	other := follower(t, "awake", awake, peer("own", own))
+	other.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 5})
+	f := follower(t, "own", own, peer("frozen", frozen), peer("awake", awake))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		f.turn = 1
+		f.catchUp(t.Context())
+		if f.Store.Current().Placements["p"].Generation == 5 {
+			return poll.Success()
+		}
+		return poll.Continue("no session to the peer that is awake")
+	}, poll.WithTimeout(time.Minute))
+	f.Store = mfsnapshot.NewStore()
+	f.turn = 0
+	f.catchUp(t.Context())
+	assert.Equal(t, f.Store.Current().Placements["p"].Generation, mothferry.Generation(5))
+}
