Plan only by documents as new as the last plan's, and under a valid lease

Cause, found by reading: a daemon that takes a shard over before it has heard of the latest documents, or of any, would plan by what it has and let runners go that the documents in force ask for. A plan whose lease had lapsed before it was published went on to its acts, which a renewal a moment later would have let through without a published placement.

Change: a placement says by which revision it was planned, and a holder with older documents waits; a lapsed lease gives the plan up (ErrLapsed).

TestOldDocumentsPlanNothing fails with the check taken out. TestLapsedLeaseStartsNothing passes before and after, as the fake's lease does not come back between; the renewal in between was not brought about.

After: all tests under the race detector pass.

--- a/mfcontrol/control.go
+++ b/mfcontrol/control.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -42,6 +43,18 @@
 	Status() mfpeer.Status
 }
 
+// ErrLapsed reports that the lease of a shard lapsed before an act. What was
+// planned is given up: acting on it later, after the lease was renewed, would
+// start tasks that no published placement holds.
+type ErrLapsed struct {
+	Fence mothferry.Fence
+}
+
+// Error implements error.
+func (e *ErrLapsed) Error() string {
+	return fmt.Sprintf("lease of shard %s lapsed in epoch %d", e.Fence.Shard, e.Fence.Epoch)
+}
+
 // Controller acts for the shards that this daemon holds.
 type Controller struct {
 	DataCentre mothferry.DataCentre
@@ -129,8 +142,15 @@
 	if err := c.load(ctx, k); err != nil {
 		return err
 	}
-	k.revision, k.hostsVersion = c.Store.Current().Revision, c.hostsVersion
-	in, err := c.read(ctx, k)
+	snapshot := c.Store.Current()
+	if snapshot.Revision == 0 || snapshot.Revision < k.placement.Revision {
+		// This daemon has no documents yet, or older ones than the last plan
+		// was made by. Planning by them would take runners away that the
+		// documents in force ask for.
+		return nil
+	}
+	k.revision, k.hostsVersion = snapshot.Revision, c.hostsVersion
+	in, err := c.read(ctx, k, snapshot)
 	if err != nil {
 		return err
 	}
@@ -152,9 +172,9 @@
 
 // read gathers what a plan depends on. The hosts and the placement come from
 // what is remembered, see known.
-func (c *Controller) read(ctx context.Context, k *known) (mfplace.Input, error) {
+func (c *Controller) read(ctx context.Context, k *known, snapshot *mfsnapshot.Snapshot) (mfplace.Input, error) {
 	shard := k.fence.Shard
-	in := mfplace.Input{Shard: shard, Epoch: k.fence.Epoch, Quiet: c.quiet, Previous: k.placement}
+	in := mfplace.Input{Shard: shard, Epoch: k.fence.Epoch, Quiet: c.quiet, Previous: k.placement, Revision: snapshot.Revision}
 	reports, err := c.reports(ctx, shard)
 	if err != nil {
 		return in, err
@@ -165,7 +185,7 @@
 			in.Hosts = append(in.Hosts, mfplace.Host{Record: h.record, Listed: c.listed[h.record.Host], Reported: reported, Tasks: tasks})
 		}
 	}
-	in.Documents = c.documents(shard)
+	in.Documents = documentsOf(snapshot, shard)
 	return in, nil
 }
 
@@ -191,10 +211,10 @@
 	return out, nil
 }
 
-// documents returns those that place runners in a shard, ordered by service.
-func (c *Controller) documents(s mothferry.Shard) []mfdocument.Document {
+// documentsOf returns those that place runners in a shard, ordered by service.
+func documentsOf(snapshot *mfsnapshot.Snapshot, s mothferry.Shard) []mfdocument.Document {
 	var documents []mfdocument.Document
-	for _, r := range c.Store.Current().Documents {
+	for _, r := range snapshot.Documents {
 		if r.Document.Share(s) > 0 {
 			documents = append(documents, r.Document)
 		}
@@ -215,7 +235,7 @@
 		return err
 	}
 	if !c.Leases.Valid(h.Fence) {
-		return nil
+		return trace.Wrap(&ErrLapsed{Fence: h.Fence})
 	}
 	key := mfplacement.Key(h.Fence.Shard)
 	generation := []byte(strconv.FormatUint(uint64(p.Generation), 10))
--- a/mfplace/plan.go
+++ b/mfplace/plan.go
@@ -29,8 +29,10 @@
 	Shard mothferry.Shard
 	Epoch mothferry.Epoch
 	// Previous is the published placement, the zero record if there is none.
-	Previous  mfplacement.Record
+	Previous mfplacement.Record
+	// Documents are those in force at Revision.
 	Documents []mfdocument.Document
+	Revision  mothferry.Revision
 	Hosts     []Host
 	// Quiet reports whether every entry host knows that a runner is leaving
 	// and has nothing in flight there.
@@ -322,7 +324,8 @@
 	out := Output{
 		Placement: mfplacement.Record{
 			DataCentre: p.input.Shard.DataCentre, Pool: p.input.Shard.Pool,
-			Epoch: p.input.Epoch, Generation: p.input.Previous.Generation, Runners: p.runners, Failures: p.failures,
+			Epoch: p.input.Epoch, Generation: p.input.Previous.Generation,
+			Revision: p.input.Revision, Runners: p.runners, Failures: p.failures,
 		},
 		Changed:  !slices.Equal(p.runners, p.input.Previous.Runners) || !maps.Equal(p.failures, p.input.Previous.Failures),
 		Unplaced: p.unplaced,
--- a/mfplacement/placement.go
+++ b/mfplacement/placement.go
@@ -49,7 +49,9 @@
 	Epoch mothferry.Epoch `json:"epoch"`
 	// Generation grows by one with each write, over all epochs.
 	Generation mothferry.Generation `json:"generation"`
-	Runners    []Runner             `json:"runners"`
+	// Revision is that of the documents by which the record was planned.
+	Revision mothferry.Revision `json:"revision"`
+	Runners  []Runner           `json:"runners"`
 	// Failures counts, by host, the tasks that failed there since one last served.
 	Failures map[mothferry.HostID]int `json:"failures,omitempty"`
 }
