Make the group commit's test independent of the machine's speed

Cause: it counted commits of 500 claims against a table of 2 ms, and on a slow machine claims would have trickled in one by one.

--- a/mfledger/ledger_test.go
+++ b/mfledger/ledger_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -171,10 +172,12 @@
 // TestGroupCommit: many claims at once share transactions, and one conflict
 // among them harms no other.
 func TestGroupCommit(t *testing.T) {
-	table := &slow{Table: mffake.NewTable(mfclock.System{})}
+	table := &gated{Table: mffake.NewTable(mfclock.System{}), open: make(chan struct{})}
 	l := started(t, table, mfclock.System{})
+	table.pass.Store(true)
 	_, _, err := l.Claim(t.Context(), key("k-7"), "d", soon())
 	assert.NilError(t, err)
+	table.pass.Store(false)
 	before := table.Commits()
 	var group sync.WaitGroup
 	const claims = 500
@@ -184,12 +187,34 @@
 			assert.Check(t, (err == nil) == (i != 7), "%d: %v", i, err)
 		})
 	}
+	// No transaction ends before most claims wait, however slow the machine.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(l.operations) >= claims-writers*maxBatch {
+			return poll.Success()
+		}
+		return poll.Continue("%d wait", len(l.operations))
+	}, poll.WithTimeout(time.Minute))
+	close(table.open)
 	group.Wait()
 	commits := table.Commits() - before
 	t.Logf("%d claims took %d commits", claims, commits)
 	assert.Assert(t, commits < claims/5)
 }
 
+// gated is a table whose commits wait until it is opened, unless they may pass.
+type gated struct {
+	*mffake.Table
+	pass atomic.Bool
+	open chan struct{}
+}
+
+func (g *gated) Commit(ctx context.Context, txn mothferry.Txn) (mothferry.Version, error) {
+	if !g.pass.Load() {
+		<-g.open
+	}
+	return g.Table.Commit(ctx, txn)
+}
+
 // slow is a table whose commits take as long as a real one's.
 type slow struct{ *mffake.Table }
 
