--- a/mfdaemon/daemon.go
+++ b/mfdaemon/daemon.go
@@ -172,7 +172,7 @@
 		peers = append(peers, mfpeer.Peer(p))
 	}
 	d.follower = &mffollow.Follower{
-		Self: s.Daemon, DataCentre: s.DataCentre, EntryHosts: s.EntryHosts(), Clock: d.Clock,
+		Self: s.Daemon, DataCentre: s.DataCentre, Clock: d.Clock,
 		Table: d.platform.Table, Store: d.store, Poll: s.Timing.Poll, Heartbeat: s.Timing.Heartbeat,
 		Bound: s.Timing.Notice / 3, Log: d.Logs.Part("config"),
 	}
--- a/mfentry/handler_test.go
+++ b/mfentry/handler_test.go
@@ -3,14 +3,10 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
-	"crypto/rand"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,144 +17,10 @@
 	"pgregory.net/rapid"
 
 	"mothferry"
-	"mothferry/mfclock"
-	"mothferry/mfdocument"
 	"mothferry/mffake"
-	"mothferry/mfledger"
-	"mothferry/mflog"
-	"mothferry/mfpeer"
 	"mothferry/mfroute"
-	"mothferry/mfsnapshot"
 )
 
-// upstreams is a Router that hands out the runners of a test in turn.
-type upstreams struct {
-	mutex     sync.Mutex
-	addresses []string
-	next      int
-	results   []mfroute.Result
-	out       int
-}
-
-func (u *upstreams) Acquire(ctx context.Context, _ mothferry.ServiceID, q mfroute.Request) (*mfroute.Lease, error) {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	for range u.addresses {
-		i := u.next % len(u.addresses)
-		u.next++
-		task := mothferry.TaskID(fmt.Sprint("runner-", i))
-		if !q.Exclude[task] && ctx.Err() == nil {
-			u.out++
-			return &mfroute.Lease{Task: task, Address: u.addresses[i], Connections: 64}, nil
-		}
-	}
-	return nil, &mothferry.ErrNotRun{Reason: mothferry.ReasonNoRunner}
-}
-
-func (u *upstreams) Release(_ mothferry.ServiceID, _ *mfroute.Lease, r mfroute.Result) {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	u.results = append(u.results, r)
-	u.out--
-}
-
-// ends is an Observer that remembers.
-type ends struct{ count atomic.Int64 }
-
-func (e *ends) Ended(mothferry.ServiceID, mothferry.End, mothferry.Reason, time.Duration) {
-	e.count.Add(1)
-}
-
-type noMesh struct{}
-
-func (noMesh) Live(time.Duration) []mfpeer.State { return nil }
-func (noMesh) DialSpill(context.Context, mothferry.DaemonID, int) (net.Conn, error) {
-	return nil, errors.New("no peers here")
-}
-
-// entry serves a handler whose service "s" runs at the given addresses.
-// GET requests under /safe may be repeated.
-func entry(t testing.TB, addresses ...string) (*Handler, *upstreams, string) {
-	t.Helper()
-	store := mfsnapshot.NewStore()
-	d := mfdocument.Default()
-	d.Service = "s"
-	d.Requests.Deadline = time.Minute
-	d.Requests.Repeatable = []mfdocument.Repeatable{{Methods: []string{"GET"}, Path: "/safe"}}
-	store.AdoptDelta(mfsnapshot.Delta{Revision: 1, Records: []mfdocument.Record{{Document: d, Revision: 1}}})
-	router := &upstreams{addresses: addresses}
-	h := &Handler{
-		DataCentre: "dc1", Store: store, Router: router, Mesh: noMesh{}, Transports: &Transports{Connect: time.Minute, HeaderBytes: 1 << 16},
-		Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Observer: &ends{}, Log: mflog.Discard(),
-		NewToken:    func() mothferry.Token { return "generated" },
-		BufferBytes: 64 << 10, BodyBytes: 1 << 20, EntryHosts: 1, PeerBound: time.Second,
-		Confirmed: time.Now, Notice: time.Second,
-	}
-	ledger := &mfledger.Ledger{
-		Table: mffake.NewTable(mfclock.System{}), Clock: mfclock.System{}, Keep: time.Hour, RecordBytes: 1 << 10,
-		NewToken: func() mothferry.Token { return mothferry.Token(rand.Text()) }, Log: mflog.Discard(),
-	}
-	ledger.Prepare()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() { _ = ledger.Run(ctx) }()
-	h.Ledger = ledger
-	server := httptest.NewServer(h)
-	t.Cleanup(server.Close)
-	return h, router, server.URL
-}
-
-// scripted listens and hands each connection to script.
-func scripted(t testing.TB, script func(net.Conn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				script(c)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// readRequest reads one whole request and returns its id.
-func readRequest(r *bufio.Reader) (mothferry.RequestID, error) {
-	q, err := http.ReadRequest(r)
-	if err != nil {
-		return "", err
-	}
-	if _, err := io.Copy(io.Discard, q.Body); err != nil {
-		return "", err
-	}
-	return mothferry.RequestID(q.Header.Get(mothferry.HeaderRequestID)), nil
-}
-
-// do sends one request on a connection of its own.
-func do(t testing.TB, method, url, body string, header map[string]string) (*http.Response, []byte, error) {
-	t.Helper()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
-	assert.NilError(t, err)
-	for k, v := range header {
-		request.Header.Set(k, v)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, nil, err
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	return response, data, err
-}
-
 // TestNoSilentReplay: symptom, an order runs twice though it was sent once.
 // Sequence: the runner takes the second request of a kept-alive connection,
 // runs it and closes the connection without an answer. Cause: net/http's
@@ -274,15 +136,7 @@
 // is ignored where the request may be repeated. Cause: taking every failed
 // claim of such a request for a table that is out.
 func TestKeyMismatchIsAlwaysRefused(t *testing.T) {
-	good := scripted(t, func(c net.Conn) {
-		reader := bufio.NewReader(c)
-		for {
-			if _, err := readRequest(reader); err != nil {
-				return
-			}
-			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-		}
-	})
+	good := answering(t, func(mothferry.RequestID) {})
 	_, _, url := entry(t, good)
 	keyed := map[string]string{"Idempotency-Key": "k", "Mothferry-Customer": "c"}
 	_, _, err := do(t, "GET", url+"/s/safe/x", "", keyed)
@@ -453,17 +307,7 @@
 // connecting and sending, and compares "not run" with what the runner saw.
 func TestNotRunIsTrue(t *testing.T) {
 	var seen sync.Map
-	address := scripted(t, func(c net.Conn) {
-		reader := bufio.NewReader(c)
-		for {
-			id, err := readRequest(reader)
-			if err != nil {
-				return
-			}
-			seen.Store(id, true)
-			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
-		}
-	})
+	address := answering(t, func(id mothferry.RequestID) { seen.Store(id, true) })
 	_, _, url := entry(t, address)
 	var notRun sync.Map
 	var group sync.WaitGroup
--- a/mffollow/follower.go
+++ b/mffollow/follower.go
@@ -53,7 +53,6 @@
 type Follower struct {
 	Self       mothferry.DaemonID
 	DataCentre mothferry.DataCentre
-	EntryHosts []mothferry.DaemonID
 	Clock      mothferry.Clock
 	Table      mothferry.Table
 	Store      *mfsnapshot.Store
--- a/mfpeer/mesh_test.go
+++ b/mfpeer/mesh_test.go
@@ -98,7 +98,7 @@
 
 func TestCalls(t *testing.T) {
 	a, _, nodes := pair(t)
-	assert.Assert(t, a.States()[0].Status.Equal(nodes[1].status))
+	assert.DeepEqual(t, a.States()[0].Status, nodes[1].status)
 	delta, err := a.Changes(t.Context(), "b", 3)
 	assert.NilError(t, err)
 	assert.Equal(t, delta.Base, mothferry.Revision(3))
--- a/mfpeer/status.go
+++ b/mfpeer/status.go
@@ -1,8 +1,6 @@
 package mfpeer
 
 import (
-	"slices"
-
 	"mothferry"
 	"mothferry/mfpeer/mfwire"
 )
@@ -91,23 +89,3 @@
 func (s Status) remote() Status {
 	return Status{Incarnation: s.Incarnation, Revision: s.Revision, Stopping: s.Stopping}
 }
-
-// Equal reports whether two statuses say the same.
-func (s Status) Equal(o Status) bool {
-	if s.Incarnation != o.Incarnation || s.Revision != o.Revision || s.Stopping != o.Stopping ||
-		len(s.Shards) != len(o.Shards) || len(s.Services) != len(o.Services) {
-		return false
-	}
-	for pool, k := range s.Shards {
-		if o.Shards[pool] != k {
-			return false
-		}
-	}
-	for service, k := range s.Services {
-		other, ok := o.Services[service]
-		if !ok || other.Queued != k.Queued || other.Demand != k.Demand || !slices.Equal(other.InFlight, k.InFlight) {
-			return false
-		}
-	}
-	return true
-}
