--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -71,7 +71,6 @@
 	Occurrences [][]StepProgress
 }
 
-
 type storedProgress struct {
 	Format int            `json:"format"`
 	State  State          `json:"state"`
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -98,7 +98,7 @@
 func (o *Owner) takeOver(ctx context.Context, seen sighting) {
 	c := &chain{store: o.Store, clock: o.Clock, version: seen.version, session: uint64(o.Clock.Now().UnixNano())}
 	began := o.Clock.Now()
-	err := c.write(ctx, mfrecord.Head{Holder: o.Daemon, Epoch: seen.head.Epoch + 1}, nil)
+	err := c.write(ctx, mfrecord.Head{Holder: o.Daemon, Epoch: seen.head.Epoch + 1, Pending: seen.head.Pending}, nil)
 	entry := o.Log.WithFields(log.Fields{"epoch": seen.head.Epoch + 1, "former": seen.head.Holder, "unchanged_ms": seen.read.Sub(seen.since).Milliseconds()})
 	if err != nil {
 		entry.WithError(err).Info("shard was not taken over")
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -114,7 +114,10 @@
 // applyInbox passes jobs and cancels on. The scheduler ignores what it knows.
 func (s *session) applyInbox(rows []mothferry.Row, whole bool) {
 	if whole {
-		defer s.once.Do(func() { close(s.loaded) })
+		defer s.once.Do(func() {
+			s.post(mfsched.JobsLoaded{})
+			close(s.loaded)
+		})
 	}
 	for _, r := range rows {
 		if r.Deleted {
@@ -271,7 +274,10 @@
 		}
 		rows = append(rows, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: value})
 	}
-	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Pending: s.state.Pending()}
+	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Pending: s.chain.head.Pending}
+	if pending, known := s.state.Pending(); known {
+		head.Pending = pending
+	}
 	s.owner.board.Store(&head)
 	s.inFlight, s.number = true, c.Number
 	go func() { s.written <- s.chain.write(s.commits, head, rows) }()
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -40,6 +40,9 @@
 	Progress   *mfjob.Progress
 }
 
+// JobsLoaded says that all jobs that were stored have been passed on.
+type JobsLoaded struct{}
+
 // CancelFound says that a caller has cancelled a job.
 type CancelFound struct {
 	Job mothferry.JobID
@@ -146,6 +149,7 @@
 
 func (ConfigChanged) event()  {}
 func (JobFound) event()       {}
+func (JobsLoaded) event()     {}
 func (CancelFound) event()    {}
 func (WorkerListed) event()   {}
 func (WorkerUnlisted) event() {}
--- /dev/null
+++ b/mfsched/harness_test.go
@@ -0,0 +1,123 @@
+package mfsched_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// start is the time at which histories begin.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	queue   mothferry.QueueID   = "q"
+	service mothferry.ServiceID = "s"
+)
+
+func limits() mfsched.Limits {
+	return mfsched.Limits{
+		Hold: 4500 * time.Millisecond, HoldMax: 6 * time.Second, ExtendFor: 4 * time.Second,
+		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second,
+		AtWorkWithin: 4500 * time.Millisecond, TailBadFor: 4 * time.Second,
+	}
+}
+
+// script feeds events to a scheduler by hand and keeps the commands.
+type script struct {
+	t     *testing.T
+	state *mfsched.State
+	now   time.Time
+	out   []mfsched.Command
+}
+
+// newScript returns a scheduler that took its shard over just now.
+func newScript(t *testing.T) *script {
+	t.Helper()
+	s := &script{t: t, state: mfsched.New(limits(), 2, start), now: start}
+	s.step(mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{
+		queue: {Service: service, MaxAttempts: 2, Stretch: 1.6, Latency: 600 * time.Millisecond},
+	}})
+	return s
+}
+
+func (s *script) step(e mfsched.Event) {
+	s.out = append(s.out, s.state.Step(e, s.now)...)
+}
+
+// pass lets time pass in steps of a tick. Commits are stored at once.
+func (s *script) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.step(mfsched.Tick{})
+		s.store()
+	}
+}
+
+// store answers the commits that wait.
+func (s *script) store() {
+	for _, c := range taken[mfsched.Commit](s) {
+		s.step(mfsched.CommitDone{Number: c.Number})
+	}
+}
+
+// taken removes the commands of one type and returns them.
+func taken[C mfsched.Command](s *script) []C {
+	var found []C
+	var rest []mfsched.Command
+	for _, c := range s.out {
+		if v, ok := c.(C); ok {
+			found = append(found, v)
+		} else {
+			rest = append(rest, c)
+		}
+	}
+	s.out = rest
+	return found
+}
+
+// list lists a worker of 16 cores.
+func (s *script) list(id mothferry.WorkerID) {
+	s.step(mfsched.WorkerListed{Worker: worker(id)})
+}
+
+func worker(id mothferry.WorkerID) mfsched.Worker {
+	return mfsched.Worker{
+		At:      mothferry.WorkerAddress{Worker: id, Address: "10.0.0.1:1"},
+		Service: service, Rack: "r1", Capacity: mothferry.Resources{Cores: 16000, Memory: 32 * mothferry.Gibibyte},
+	}
+}
+
+// look answers the look that waits at a worker.
+func (s *script) look(id mothferry.WorkerID, report mothferry.LookReport) {
+	s.t.Helper()
+	var sent bool
+	for _, l := range taken[mfsched.Look](s) {
+		if l.At.Worker == id {
+			sent = true
+			continue
+		}
+		s.out = append(s.out, l)
+	}
+	assert.Assert(s.t, sent, "no look at %s waits", id)
+	if report.Clock == 0 {
+		report.Clock = mothferry.WorkerClock(s.now.Sub(start) + time.Hour)
+	}
+	s.step(mfsched.LookAnswered{Worker: id, Sent: s.now, Report: report})
+}
+
+// submit hands a job in that has one step of so many tasks.
+func (s *script) submit(id mothferry.JobID, count int) {
+	s.step(mfsched.JobFound{Job: id, Submission: submission(s.now, count)})
+}
+
+func submission(at time.Time, count int) mfjob.Submission {
+	return mfjob.Submission{
+		Queue: queue, Service: service, Spec: "spec", Accepted: at,
+		Steps: []mfjob.Step{{Count: count, Need: mothferry.Resources{Cores: 1000}, Estimate: 600 * time.Millisecond}},
+	}
+}
--- a/mfsched/order.go
+++ b/mfsched/order.go
@@ -52,7 +52,7 @@
 	left := j.submission.ChainFrom(func(step int) bool { return o.steps[step].open == 0 })
 	aim := objective(q, j.chain)
 	slack := begun.Add(aim).Sub(now) - left
-	late := begun.Add(lateFactor * aim).Sub(now) - left
+	late := begun.Add(lateFactor*aim).Sub(now) - left
 	switch {
 	case slack >= 0:
 		return prospectInTime, slack
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -129,6 +129,7 @@
 	// Taken is when this owner took the shard over.
 	Taken time.Time
 
+	loaded  bool
 	queues  map[mothferry.QueueID]Queue
 	standby map[mothferry.ServiceID]bool
 	jobs    map[mothferry.JobID]*job
@@ -179,6 +180,8 @@
 		s.queues, s.standby = v.Queues, v.Standby
 	case JobFound:
 		s.found(v, now)
+	case JobsLoaded:
+		s.loaded = true
 	case CancelFound:
 		s.cancel(v.Job, now)
 	case WorkerListed:
@@ -443,13 +446,14 @@
 	return out
 }
 
-// Pending returns how many accepted jobs of each queue have not begun.
-func (s *State) Pending() map[mothferry.QueueID]int {
+// Pending returns how many accepted jobs of each queue have not begun. It is
+// not known until all stored jobs have been passed on.
+func (s *State) Pending() (map[mothferry.QueueID]int, bool) {
 	pending := map[mothferry.QueueID]int{}
 	for _, j := range s.live {
 		if !j.touched {
 			pending[j.submission.Queue]++
 		}
 	}
-	return pending
+	return pending, s.loaded
 }
--- /dev/null
+++ b/mfsched/takeover_test.go
@@ -0,0 +1,93 @@
+package mfsched_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// restored is a job of which an earlier owner started one task on worker w-1.
+func restored(at time.Time) mfsched.JobFound {
+	return mfsched.JobFound{Job: "j", Submission: submission(at, 1), Progress: &mfjob.Progress{
+		State:       mfjob.StateRunning,
+		Occurrences: [][]mfjob.StepProgress{{{Tasks: []mfjob.TaskProgress{{Run: 1, Worker: "w-1"}}}}},
+	}}
+}
+
+// Symptom: a task ran twice at the same time after a takeover.
+// Events: an owner in a cut-off data centre keeps a run alive on a worker that
+// its successor can't reach; the worker's entry goes; the cut heals; the
+// worker answers its first look and still runs the task.
+// Cause: the successor had asked for no lease of its own yet, took the lease
+// as lapsed the moment the worker had answered, and started the task elsewhere.
+func TestAnsweringWorkerKeepsItsRuns(t *testing.T) {
+	s := newScript(t)
+	s.step(restored(s.now))
+	s.list("w-1")
+	s.list("w-2")
+	s.step(mfsched.WorkerUnlisted{Worker: "w-1"})
+	s.pass(10 * time.Millisecond)
+	s.look("w-2", mothferry.LookReport{})
+	s.look("w-1", mothferry.LookReport{Running: []mothferry.RunningTask{{
+		Task: mothferry.TaskName{Job: "j"}, Run: 1, Percent: 10,
+	}}})
+	s.pass(200 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+	assert.Equal(t, len(taken[mfsched.Stop](s)), 0)
+}
+
+// Symptom: a task of a silent worker runs twice after a takeover.
+// Events: the former owner, cut off from the store and from its successor, goes
+// on extending the lease of a worker that the successor can't reach.
+// Cause guarded against: the lease is taken as lapsed too early. The successor
+// waits for what the former owner may still extend, and the longest lease.
+func TestSilentWorkerIsWaitedFor(t *testing.T) {
+	s := newScript(t)
+	s.step(restored(s.now))
+	s.list("w-2")
+	s.pass(50 * time.Millisecond)
+	s.look("w-2", mothferry.LookReport{})
+	l := limits()
+	for s.now.Before(start.Add(l.ExtendFor + l.HoldMax)) {
+		s.pass(100 * time.Millisecond)
+		answerIdle(s, "w-2")
+		assert.Equal(t, len(taken[mfsched.Start](s)), 0, "started after %v", s.now.Sub(start))
+	}
+	for range 10 {
+		s.pass(100 * time.Millisecond)
+		answerIdle(s, "w-2")
+	}
+	starts := taken[mfsched.Start](s)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Order.Run, mothferry.RunNumber(2))
+}
+
+// answerIdle answers the look at a worker that runs nothing, if one waits.
+func answerIdle(s *script, id mothferry.WorkerID) {
+	for _, l := range taken[mfsched.Look](s) {
+		if l.At.Worker == id {
+			s.step(mfsched.LookAnswered{Worker: id, Sent: s.now, Report: mothferry.LookReport{
+				Clock: mothferry.WorkerClock(s.now.Sub(start) + time.Hour),
+			}})
+		}
+	}
+}
+
+// Symptom: a host said that no job waits, though ten had for five seconds.
+// Events: the owner changes; the new one commits before it has read the jobs.
+// Cause: its first commits counted the jobs that it knew, none.
+func TestPendingIsToldOnceJobsAreKnown(t *testing.T) {
+	s := newScript(t)
+	_, known := s.state.Pending()
+	assert.Assert(t, !known)
+	s.submit("j", 1)
+	s.step(mfsched.JobsLoaded{})
+	pending, known := s.state.Pending()
+	assert.Assert(t, known)
+	assert.Equal(t, pending[queue], 1)
+}
