Let the lease of a silent worker lapse

Ruled out: a missing listing (noticed at 17.8 s), want of room. Test: TestSilentWorkersTasksStartElsewhere, seen to fail before. Conclusion: a worker that did not answer is looked at without extending.

--- /dev/null
+++ b/mfsched/silent_test.go
@@ -0,0 +1,48 @@
+package mfsched_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfsched"
+)
+
+// Symptom: a lasting task was not started again for 28 s after its worker was
+// lost, though there was room.
+// Events: a worker falls silent for good; its owner goes on looking at it.
+// Cause: each look without answer asked for a longer lease, and as one of them
+// may have arrived, the lease never counted as lapsed.
+func TestSilentWorkersTasksStartElsewhere(t *testing.T) {
+	s := newScript(t)
+	s.list("w-1")
+	s.pass(10 * time.Millisecond)
+	s.look("w-1", mothferry.LookReport{})
+	s.submit("j", 1)
+	s.pass(50 * time.Millisecond)
+	first := taken[mfsched.Start](s)
+	assert.Equal(t, len(first), 1)
+	s.step(mfsched.StartAnswered{Worker: "w-1", Task: first[0].Order.Task, Run: 1, Result: mfsched.ResultDone})
+	s.list("w-2")
+	began := s.now
+	for s.now.Sub(began) < 7*time.Second {
+		s.pass(50 * time.Millisecond)
+		for _, l := range taken[mfsched.Look](s) {
+			if l.At.Worker == "w-1" {
+				s.step(mfsched.LookFailed{Worker: "w-1", Result: mfsched.ResultUnknown})
+				continue
+			}
+			s.step(mfsched.LookAnswered{Worker: l.At.Worker, Sent: s.now, Report: mothferry.LookReport{
+				Clock: mothferry.WorkerClock(s.now.Sub(start) + time.Hour),
+			}})
+		}
+		if starts := taken[mfsched.Start](s); len(starts) > 0 {
+			assert.Equal(t, starts[0].At.Worker, mothferry.WorkerID("w-2"))
+			assert.Assert(t, s.now.Sub(began) >= limits().Hold-200*time.Millisecond, "started after %v, while the lease may have run", s.now.Sub(began))
+			return
+		}
+	}
+	t.Fatal("the task was not started elsewhere")
+}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -130,9 +130,10 @@
 // leaseEnd returns the lease end to ask for now, by the worker's clock, or
 // zero if leases may not be extended. An owner that can't store anything any
 // more must let leases lapse: a successor that can't reach the worker counts
-// on it.
+// on it. Nor is the lease of a worker extended that did not answer last: the
+// look may arrive all the same, and the lease would never be known to lapse.
 func (s *State) leaseEnd(w *worker, now time.Time) mothferry.WorkerClock {
-	if w.read.IsZero() || now.Sub(s.lastCommit) >= s.Limits.ExtendFor {
+	if w.read.IsZero() || w.failing || now.Sub(s.lastCommit) >= s.Limits.ExtendFor {
 		return 0
 	}
 	// The clock may be fast as well as slow; the worker cuts what is too long.
