--- /dev/null
+++ b/mfduty/duty.go
@@ -0,0 +1,287 @@
+// Package mfduty decides when machines are taken down for upkeep and when
+// they move between pools. It does no I/O: Plan takes what the platform lists
+// and what workers run, and returns which workers to empty and what to ask for.
+//
+// What it guards against:
+//
+//   - Work is cut off: a machine is emptied first. Nothing new starts there,
+//     short tasks end, lasting ones are moved as their steps allow.
+//   - More machines of a wave are down than it allows: one that was asked for
+//     counts as down until it is listed as up with another life of its worker,
+//     also while the answer to the call is not known.
+//   - A wave is said to be completed too early: each of its machines that is
+//     still listed must have been taken down in it by an answered call.
+package mfduty
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mothferry"
+	"mothferry/mfsched"
+)
+
+// Kind is what is done with a machine.
+type Kind string
+
+// Kinds of errands.
+const (
+	KindUpkeep Kind = "upkeep"
+	KindMove   Kind = "move"
+)
+
+// phase is how far an errand is.
+type phase int
+
+const (
+	// phaseEmptying: the machine's worker gets no work and runs out of it.
+	phaseEmptying phase = iota
+	// phaseAsked: the platform was asked, and what it did is not known.
+	phaseAsked
+	// phaseAway: the platform took the machine down or moves it.
+	phaseAway
+)
+
+// errand is one machine on its way to upkeep or to another pool.
+type errand struct {
+	call  Call
+	phase phase
+	// worker is the life that ends by it.
+	worker mothferry.WorkerID
+	since  time.Time
+	asked  time.Time
+}
+
+// Call is what the platform is asked for.
+type Call struct {
+	Kind    Kind
+	Machine mothferry.MachineID
+	// Wave belongs to upkeep, Pool to a move.
+	Wave mothferry.WaveID
+	Pool mothferry.ServiceID
+}
+
+// Wave is a wave of upkeep under way.
+type Wave struct {
+	mfsched.Wave
+	// Begun is when it was first seen.
+	Begun time.Time
+	// Done holds the machines that were taken down in it.
+	Done map[mothferry.MachineID]bool
+	// Completed says that all machines that are still there are done.
+	Completed bool
+}
+
+// Times of errands.
+const (
+	// askAgain is the pause before a call without answer is repeated.
+	askAgain = 800 * time.Millisecond
+	// emptyFor is how long a machine may take to run empty before another one
+	// is tried; near a wave's deadline it is taken down with what still runs.
+	emptyFor = 6 * time.Second
+	// hurryBefore is how long before a wave's deadline short tasks are no
+	// longer waited for.
+	hurryBefore = 4 * time.Second
+)
+
+// State is what is under way. The exported fields are for reading.
+type State struct {
+	Waves   map[mothferry.WaveID]*Wave
+	errands map[mothferry.MachineID]*errand
+}
+
+// New returns a state with nothing under way.
+func New() *State {
+	return &State{Waves: map[mothferry.WaveID]*Wave{}, errands: map[mothferry.MachineID]*errand{}}
+}
+
+// Ask takes in a wave that the operator asks for. One that is known keeps what
+// was done in it.
+func (s *State) Ask(w mfsched.Wave, now time.Time) {
+	if known, ok := s.Waves[w.Wave]; ok {
+		known.Wave = w
+		return
+	}
+	s.Waves[w.Wave] = &Wave{Wave: w, Begun: now, Done: map[mothferry.MachineID]bool{}}
+}
+
+// Restore takes in what an earlier owner did in a wave.
+func (s *State) Restore(id mothferry.WaveID, begun time.Time, done []mothferry.MachineID) {
+	w, ok := s.Waves[id]
+	if !ok {
+		w = &Wave{Wave: mfsched.Wave{Wave: id}, Done: map[mothferry.MachineID]bool{}}
+		s.Waves[id] = w
+	}
+	w.Begun = begun
+	for _, m := range done {
+		w.Done[m] = true
+	}
+}
+
+// Busy reports whether the machine list is needed.
+func (s *State) Busy() bool {
+	if len(s.errands) > 0 {
+		return true
+	}
+	for _, w := range s.Waves {
+		if !w.Completed {
+			return true
+		}
+	}
+	return false
+}
+
+// Plan returns the calls that are due. Loads holds what each life of a worker runs.
+func (s *State) Plan(machines []mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []Call {
+	listed := map[mothferry.MachineID]mothferry.Machine{}
+	for _, m := range machines {
+		listed[m.Machine] = m
+	}
+	s.settle(listed, now)
+	for _, id := range s.waves() {
+		s.planWave(s.Waves[id], listed, loads, now)
+	}
+	return s.due(loads, now)
+}
+
+// settle ends the errands of machines that are back, or gone.
+func (s *State) settle(listed map[mothferry.MachineID]mothferry.Machine, now time.Time) {
+	for id, e := range s.errands {
+		m, there := listed[id]
+		switch {
+		case !there:
+			delete(s.errands, id)
+		case e.phase == phaseAway && m.State == mothferry.MachineUp && m.Worker != e.worker:
+			delete(s.errands, id)
+		case e.phase == phaseEmptying && (m.State != mothferry.MachineUp || m.Worker != e.worker):
+			// Its worker crashed, or somebody else acted on it: begin anew.
+			delete(s.errands, id)
+		case e.phase == phaseEmptying && now.Sub(e.since) > emptyFor:
+			delete(s.errands, id)
+		}
+	}
+}
+
+// waves returns the waves in the order of their deadlines.
+func (s *State) waves() []mothferry.WaveID {
+	var ids []mothferry.WaveID
+	for id := range s.Waves {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b mothferry.WaveID) int {
+		return cmp.Or(s.Waves[a].Deadline().Compare(s.Waves[b].Deadline()), cmp.Compare(a, b))
+	})
+	return ids
+}
+
+// Deadline is when all machines of the wave should have had their upkeep.
+func (w *Wave) Deadline() time.Time { return w.Begun.Add(w.Within) }
+
+func (s *State) planWave(w *Wave, listed map[mothferry.MachineID]mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) {
+	if w.Completed || len(w.Machines) == 0 {
+		return
+	}
+	var left []mothferry.Machine
+	busy, open := 0, 0
+	for _, id := range w.Machines {
+		m, there := listed[id]
+		if !there {
+			continue
+		}
+		e, underWay := s.errands[id]
+		switch {
+		case underWay && e.call.Kind == KindUpkeep && e.call.Wave == w.Wave.Wave:
+			busy++
+		case m.State == mothferry.MachineUpkeep:
+			busy++
+		case !w.Done[id] && !underWay && m.State == mothferry.MachineUp:
+			left = append(left, m)
+		}
+		if !w.Done[id] {
+			open++
+		}
+	}
+	if open == 0 {
+		w.Completed = true
+		return
+	}
+	slices.SortFunc(left, func(a, b mothferry.Machine) int {
+		return cmp.Or(loads[a.Worker].Compare(loads[b.Worker]), cmp.Compare(a.Machine, b.Machine))
+	})
+	for _, m := range left {
+		if busy >= w.AtOnce {
+			return
+		}
+		busy++
+		s.errands[m.Machine] = &errand{
+			call:   Call{Kind: KindUpkeep, Machine: m.Machine, Wave: w.Wave.Wave},
+			worker: m.Worker, since: now,
+		}
+	}
+}
+
+// due returns the calls for machines that are empty, and those that have had
+// no answer.
+func (s *State) due(loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []Call {
+	var calls []Call
+	for _, e := range s.errands {
+		switch {
+		case e.phase == phaseEmptying && s.mayCall(e, loads[e.worker], now),
+			e.phase == phaseAsked && now.Sub(e.asked) >= askAgain:
+			e.phase, e.asked = phaseAsked, now
+			calls = append(calls, e.call)
+		}
+	}
+	slices.SortFunc(calls, func(a, b Call) int { return cmp.Compare(a.Machine, b.Machine) })
+	return calls
+}
+
+// mayCall reports whether a machine may be taken: it is empty, or the wave's
+// deadline is near and only short tasks run there, which start again elsewhere.
+func (s *State) mayCall(e *errand, load mfsched.Load, now time.Time) bool {
+	if load.Tasks == 0 {
+		return true
+	}
+	w, ok := s.Waves[e.call.Wave]
+	return ok && e.call.Kind == KindUpkeep && load.Lasting == 0 && w.Deadline().Sub(now) < hurryBefore
+}
+
+// Answer is how a call ended.
+type Answer string
+
+// Answers to calls.
+const (
+	AnswerDone    Answer = "done"
+	AnswerRefused Answer = "refused"
+	AnswerUnknown Answer = "unknown"
+)
+
+// Answered takes in the answer to a call. It returns the life of a worker that
+// has ended by it, if one has.
+func (s *State) Answered(c Call, answer Answer, now time.Time) (mothferry.WorkerID, bool) {
+	e, ok := s.errands[c.Machine]
+	if !ok || e.call != c {
+		return "", false
+	}
+	switch answer {
+	case AnswerDone:
+		e.phase, e.since = phaseAway, now
+		if w, ok := s.Waves[c.Wave]; ok && c.Kind == KindUpkeep {
+			w.Done[c.Machine] = true
+		}
+		return e.worker, true
+	case AnswerRefused:
+		delete(s.errands, c.Machine)
+	}
+	return "", false
+}
+
+// Leaving returns the workers that are to run out of work.
+func (s *State) Leaving() map[mothferry.WorkerID]bool {
+	leaving := map[mothferry.WorkerID]bool{}
+	for _, e := range s.errands {
+		leaving[e.worker] = true
+	}
+	return leaving
+}
--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +36,8 @@
 	Listing  mfowner.WorkerSource
 	// Operator follows what the operator asks for until ctx ends.
 	Operator func(ctx context.Context, news News) error
+	// TellWave tells the operator how far a wave is.
+	TellWave func(ctx context.Context, wave mothferry.WaveID, completed bool) error
 	// Callers returns the handler of callers' requests.
 	Callers func(d *Daemon) http.Handler
 }
@@ -60,6 +65,8 @@
 	config  atomic.Pointer[mfqueue.Config]
 	heard   atomic.Pointer[time.Time]
 	leaving atomic.Bool
+	mutex   sync.Mutex
+	waves   map[mothferry.WaveID]mfsched.Wave
 	ended   *prometheus.HistogramVec
 }
 
@@ -120,7 +127,8 @@
 	d.owner = &mfowner.Owner{
 		Daemon: d.Settings.Daemon, Store: d.Outside.Store, Workers: d.Outside.Workers, Adviser: d.Outside.Adviser,
 		Listing: d.Outside.Listing, Config: d.Config, Limits: d.Settings.Limits, Clock: d.Clock, Random: d.Random,
-		Log: d.Log("owner"),
+		Machines: d.Outside.Machines, Waves: d.waveList, TellWave: d.Outside.TellWave,
+		MachineHandOver: d.Settings.MachineHandOver, Log: d.Log("owner"),
 	}
 	d.Intake = &mfintake.Intake{Store: d.Outside.Store, Clock: d.Clock, Log: d.Log("intake"), Board: d.owner.Board}
 }
@@ -159,7 +167,7 @@
 func (d *Daemon) followOperator(ctx context.Context) error {
 	return d.Outside.Operator(ctx, News{
 		Adopt: func(c *mfqueue.Config) { d.config.Store(c) },
-		Wave:  func(mfsched.Wave) {},
+		Wave:  d.addWave,
 		Heard: func() {
 			now := d.Clock.Now()
 			d.heard.Store(&now)
@@ -167,6 +175,23 @@
 	})
 }
 
+func (d *Daemon) addWave(w mfsched.Wave) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.waves == nil {
+		d.waves = map[mothferry.WaveID]mfsched.Wave{}
+	}
+	d.waves[w.Wave] = w
+	d.log.WithFields(log.Fields{"wave": w.Wave, "machines": len(w.Machines), "at_once": w.AtOnce, "within": w.Within.String()}).Info("wave is asked for")
+}
+
+// waveList returns the waves that the operator has asked for.
+func (d *Daemon) waveList() []mfsched.Wave {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Collect(maps.Values(d.waves))
+}
+
 // readyWithin is how long ago the store must have answered for this host to
 // take new connections: longer than a call that waits for changes, shorter
 // than what makes callers wait for a host that can't accept their jobs.
--- /dev/null
+++ b/mfowner/duty.go
@@ -0,0 +1,219 @@
+package mfowner
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"mothferry"
+	"mothferry/mfduty"
+	"mothferry/mfrecord"
+	"mothferry/mfsched"
+)
+
+const (
+	// dutyEvery is how often machines are listed while something is under way:
+	// fast beside the two seconds that an upkeep or a move takes.
+	dutyEvery = 350 * time.Millisecond
+	// calmDutyEvery is the same while nothing is.
+	calmDutyEvery = time.Second
+	// callWithin is how long after the last stored commit machines may be
+	// changed: below ownerLease, so that no other host owns the shard by then.
+	callWithin = time.Second
+	// handOverMargin is added to the pause after a takeover.
+	handOverMargin = 300 * time.Millisecond
+)
+
+// duties is what a session does with machines.
+type duties struct {
+	state   *mfduty.State
+	listing bool
+	next    time.Time
+	// stored is what the store holds of each wave.
+	stored map[mothferry.WaveID]string
+	// told is what the operator was told of each wave.
+	told map[mothferry.WaveID]bool
+}
+
+// storedWave is the row of a wave under way.
+type storedWave struct {
+	Format int                   `json:"format"`
+	Begun  time.Time             `json:"begun"`
+	Done   []mothferry.MachineID `json:"done"`
+}
+
+// waveFormat is the version of storedWave.
+const waveFormat = 1
+
+func waveKey(id mothferry.WaveID) mothferry.Key {
+	return mothferry.Key(prefixWave + strconv.Itoa(int(id)))
+}
+
+const prefixWave = "wave/"
+
+// restoreWaves takes in what earlier owners did.
+func (s *session) restoreWaves(rows []mothferry.Row) error {
+	for _, r := range rows {
+		number, ok := strings.CutPrefix(string(r.Key), prefixWave)
+		if !ok {
+			continue
+		}
+		id, err := strconv.Atoi(number)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		var w storedWave
+		if err := json.Unmarshal(r.Value, &w); err != nil {
+			return trace.Wrap(err)
+		}
+		if w.Format > waveFormat {
+			return &errNewerWave{format: w.Format}
+		}
+		s.duties.state.Restore(mothferry.WaveID(id), w.Begun, w.Done)
+		s.duties.stored[mothferry.WaveID(id)] = string(r.Value)
+	}
+	return nil
+}
+
+// errNewerWave reports a wave's row of a newer program.
+type errNewerWave struct{ format int }
+
+// Error implements error.
+func (e *errNewerWave) Error() string {
+	return fmt.Sprintf("a wave's row has format %d, this program reads up to %d", e.format, waveFormat)
+}
+
+// waveRows returns the rows of waves that changed since they were stored.
+func (s *session) waveRows() []mothferry.Write {
+	var rows []mothferry.Write
+	for id, w := range s.duties.state.Waves {
+		stored := storedWave{Format: waveFormat, Begun: w.Begun}
+		for _, m := range w.Machines {
+			if w.Done[m] {
+				stored.Done = append(stored.Done, m)
+			}
+		}
+		value, err := json.Marshal(stored)
+		if err != nil {
+			s.owner.Log.WithError(err).WithField("wave", id).Error("wave can't be stored")
+			continue
+		}
+		if s.duties.stored[id] == string(value) {
+			continue
+		}
+		s.duties.stored[id] = string(value)
+		rows = append(rows, mothferry.Write{Table: mfrecord.TableOwner, Part: mfrecord.PartShard, Key: waveKey(id), Value: value})
+	}
+	return rows
+}
+
+// mayChangeMachines reports whether this host may ask for changes of machines:
+// the former owner's last call is long enough ago, and no other host can own
+// the shard yet. Both the steady clock and the time of day have to agree, as
+// the steady clock stands still while a host is suspended.
+func (s *session) mayChangeMachines(now time.Time) bool {
+	if now.Sub(s.taken) < s.owner.MachineHandOver+handOverMargin {
+		return false
+	}
+	steady := now.Sub(s.confirmed)
+	wall := now.Round(0).Sub(s.confirmed.Round(0))
+	return max(steady, wall) < callWithin
+}
+
+// doDuties lists machines when it is time to, and plans once the list is there.
+func (s *session) doDuties(now time.Time) {
+	if now.Before(s.duties.next) || s.duties.listing {
+		return
+	}
+	for _, w := range s.owner.Waves() {
+		s.duties.state.Ask(w, now)
+	}
+	s.tellWaves()
+	s.duties.next = now.Add(calmDutyEvery)
+	if !s.duties.state.Busy() {
+		return
+	}
+	s.duties.next = now.Add(dutyEvery)
+	s.duties.listing = true
+	go func() {
+		machines, err := s.owner.Machines.List(s.ctx)
+		s.act(func() { s.planDuties(machines, err) })
+	}()
+}
+
+func (s *session) planDuties(machines []mothferry.Machine, err error) {
+	s.duties.listing = false
+	if err != nil {
+		s.owner.machinesEpisode.Failed(err, "machines can't be listed")
+		return
+	}
+	s.owner.machinesEpisode.Succeeded("machines can be listed again")
+	now := s.owner.Clock.Now()
+	if !s.mayChangeMachines(now) {
+		return
+	}
+	calls := s.duties.state.Plan(machines, s.state.Loads(), now)
+	s.step(mfsched.WorkersLeaving{Workers: s.duties.state.Leaving()})
+	for _, c := range calls {
+		go s.callMachine(c)
+	}
+}
+
+func (s *session) callMachine(c mfduty.Call) {
+	fence := mothferry.MachineFence{Holder: s.owner.Daemon, Epoch: s.state.Epoch}
+	var err error
+	if c.Kind == mfduty.KindUpkeep {
+		err = s.owner.Machines.Upkeep(s.ctx, c.Machine, c.Wave, fence)
+	} else {
+		err = s.owner.Machines.Move(s.ctx, c.Machine, c.Pool, fence)
+	}
+	s.act(func() { s.machineAnswered(c, err) })
+}
+
+func (s *session) machineAnswered(c mfduty.Call, err error) {
+	answer := mfduty.AnswerDone
+	var refused *mothferry.ErrOrderRefused
+	switch {
+	case err == nil:
+	case errors.As(err, &refused):
+		answer = mfduty.AnswerRefused
+	default:
+		answer = mfduty.AnswerUnknown
+	}
+	entry := s.owner.Log.WithFields(log.Fields{"machine": c.Machine, "kind": c.Kind, "wave": c.Wave, "pool": c.Pool, "answer": answer, "epoch": s.state.Epoch})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("machine is asked for")
+	if worker, over := s.duties.state.Answered(c, answer, s.owner.Clock.Now()); over {
+		s.step(mfsched.WorkerOver{Worker: worker})
+	}
+}
+
+// tellWaves tells the operator how far waves are: running once one is seen,
+// completed once that is stored.
+func (s *session) tellWaves() {
+	for id, w := range s.duties.state.Waves {
+		if told, ok := s.duties.told[id]; ok && told == w.Completed {
+			continue
+		}
+		s.duties.told[id] = w.Completed
+		completed := w.Completed
+		go func() {
+			err := s.owner.TellWave(s.ctx, id, completed)
+			entry := s.owner.Log.WithFields(log.Fields{"wave": id, "completed": completed})
+			if err == nil {
+				entry.Info("operator is told of a wave")
+				return
+			}
+			entry.WithError(err).Warn("operator can't be told of a wave")
+			s.act(func() { delete(s.duties.told, id) })
+		}()
+	}
+}
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -31,6 +31,15 @@
 	Workers mothferry.TaskWorkers
 	Adviser mothferry.Adviser
 	Listing WorkerSource
+	// Machines is the platform's list of machines.
+	Machines mothferry.Machines
+	// Waves returns the waves of upkeep that the operator has asked for.
+	Waves func() []mfsched.Wave
+	// TellWave tells the operator how far a wave is.
+	TellWave func(ctx context.Context, wave mothferry.WaveID, completed bool) error
+	// MachineHandOver is how long after another host's last change of a machine
+	// this one may change it.
+	MachineHandOver time.Duration
 	// Config returns the config in force, nil before the first one.
 	Config func() *mfqueue.Config
 	Limits mfsched.Limits
@@ -38,9 +47,10 @@
 	Random mothferry.Random
 	Log    *log.Entry
 
-	board   atomic.Pointer[mfrecord.Head]
-	owning  atomic.Bool
-	episode mflog.Episode
+	board           atomic.Pointer[mfrecord.Head]
+	owning          atomic.Bool
+	episode         mflog.Episode
+	machinesEpisode mflog.Episode
 }
 
 // Board returns what the shard's owner last told of itself, nil if that was
@@ -52,7 +62,7 @@
 
 // Run watches and owns until ctx ends; then it gives the shard up.
 func (o *Owner) Run(ctx context.Context) error {
-	o.episode.Log = o.Log
+	o.episode.Log, o.machinesEpisode.Log = o.Log, o.Log
 	var seen sighting
 	for {
 		if o.Config() != nil {
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"mothferry"
+	"mothferry/mfduty"
 	"mothferry/mffeed"
 	"mothferry/mfjob"
 	"mothferry/mfqueue"
@@ -35,6 +36,14 @@
 	chain  *chain
 	state  *mfsched.State
 	events chan mfsched.Event
+	// acts holds what other goroutines want done in the loop.
+	acts   chan func()
+	duties duties
+	// taken is when the shard was taken over, confirmed when the last commit
+	// that is stored was sent.
+	taken, confirmed time.Time
+	// sent is when the commit under way was sent.
+	sent time.Time
 	// written brings the result of the commit under way.
 	written  chan error
 	inFlight bool
@@ -58,10 +67,12 @@
 	defer cancelCommits()
 	s := &session{
 		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken),
-		events: make(chan mfsched.Event, eventRoom), written: make(chan error, 1),
-		loaded: make(chan struct{}), ctx: inner, commits: commits,
+		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), taken: taken, confirmed: taken,
+		duties:  duties{state: mfduty.New(), stored: map[mothferry.WaveID]string{}, told: map[mothferry.WaveID]bool{}},
+		written: make(chan error, 1),
+		loaded:  make(chan struct{}), ctx: inner, commits: commits,
 	}
-	if err := s.loadProgress(); err != nil {
+	if err := s.load(); err != nil {
 		return err
 	}
 	go s.followInbox()
@@ -69,10 +80,17 @@
 	return s.loop()
 }
 
-// loadProgress reads what earlier owners stored. It is read after the shard
-// was taken over, so that nothing can be added by them any more.
-func (s *session) loadProgress() error {
-	rows, err := s.readProgress()
+// load reads what earlier owners stored. It is read after the shard was taken
+// over, so that nothing can be added by them any more.
+func (s *session) load() error {
+	waves, err := s.readShard(mfrecord.TableOwner)
+	if err != nil {
+		return err
+	}
+	if err := s.restoreWaves(waves); err != nil {
+		return err
+	}
+	rows, err := s.readShard(mfrecord.TableProgress)
 	if err != nil {
 		return err
 	}
@@ -88,15 +106,15 @@
 	return nil
 }
 
-// readProgress tries until the store answers: the shard is this host's until
+// readShard reads a table's rows of the shard. It tries until the store answers: the shard is this host's until
 // another one takes it, which the next commit shows.
-func (s *session) readProgress() ([]mothferry.Row, error) {
+func (s *session) readShard(table mothferry.TableID) ([]mothferry.Row, error) {
 	for {
-		rows, _, err := mffeed.ReadAll(s.ctx, s.owner.Store, mothferry.RowRange{Table: mfrecord.TableProgress, Part: mfrecord.PartShard})
+		rows, _, err := mffeed.ReadAll(s.ctx, s.owner.Store, mothferry.RowRange{Table: table, Part: mfrecord.PartShard})
 		if err == nil {
 			return rows, nil
 		}
-		s.owner.Log.WithError(err).Warn("progress can't be read, trying again")
+		s.owner.Log.WithError(err).Warn("the shard can't be read, trying again")
 		if err := s.chain.write(s.ctx, s.chain.head, nil); err != nil {
 			return nil, err
 		}
@@ -168,6 +186,14 @@
 	}
 }
 
+// act has f run by the loop.
+func (s *session) act(f func()) {
+	select {
+	case s.acts <- f:
+	case <-s.ctx.Done():
+	}
+}
+
 func (s *session) loop() error {
 	for {
 		select {
@@ -178,12 +204,16 @@
 				return err
 			}
 			s.inFlight = false
+			s.confirmed = s.sent
 			s.step(mfsched.CommitDone{Number: s.number})
 		case e := <-s.events:
 			s.step(e)
 			s.drain()
+		case f := <-s.acts:
+			f()
 		case <-s.owner.Clock.After(tickEvery):
 		}
+		s.doDuties(s.owner.Clock.Now())
 		s.adoptConfig()
 		s.step(mfsched.Tick{})
 	}
@@ -279,7 +309,8 @@
 		head.Pending = pending
 	}
 	s.owner.board.Store(&head)
-	s.inFlight, s.number = true, c.Number
+	rows = append(rows, s.waveRows()...)
+	s.inFlight, s.number, s.sent = true, c.Number, s.owner.Clock.Now()
 	go func() { s.written <- s.chain.write(s.commits, head, rows) }()
 }
 
--- /dev/null
+++ b/mfsched/load.go
@@ -0,0 +1,40 @@
+package mfsched
+
+import (
+	"cmp"
+
+	"mothferry"
+)
+
+// Load is what one life of a worker runs.
+type Load struct {
+	Service mothferry.ServiceID
+	// Tasks counts all tasks that are, or may be, there; Lasting those that last.
+	Tasks   int
+	Lasting int
+	// Used is the part of its cores that tasks have asked for, from 0 to 1.
+	Used float64
+}
+
+// Compare orders loads by how little is lost if the machine goes.
+func (l Load) Compare(o Load) int {
+	return cmp.Or(cmp.Compare(l.Lasting, o.Lasting), cmp.Compare(l.Used, o.Used))
+}
+
+// Loads returns what each known life of a worker runs.
+func (s *State) Loads() map[mothferry.WorkerID]Load {
+	loads := map[mothferry.WorkerID]Load{}
+	for id, w := range s.workers {
+		l := Load{Service: w.Service, Tasks: len(w.tasks)}
+		for _, t := range w.tasks {
+			if t.step.of.Lasting {
+				l.Lasting++
+			}
+		}
+		if w.Capacity.Cores > 0 {
+			l.Used = float64(w.used.Cores) / float64(w.Capacity.Cores)
+		}
+		loads[id] = l
+	}
+	return loads
+}
