--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -49,8 +49,10 @@
 	phase phase
 	// worker is the life that ends by it.
 	worker mothferry.WorkerID
-	since  time.Time
-	asked  time.Time
+	// over says that the list has shown that.
+	over  bool
+	since time.Time
+	asked time.Time
 }
 
 // Call is what the platform is asked for.
@@ -77,6 +79,9 @@
 const (
 	// askAgain is the pause before a call without answer is repeated.
 	askAgain = 800 * time.Millisecond
+	// listedWithin is how soon after the answer to a call the list shows it; a
+	// machine that is still up by then was taken down earlier.
+	listedWithin = time.Second
 	// emptyFor is how long a machine may take to run empty before another one
 	// is tried; near a wave's deadline it is taken down with what still runs.
 	emptyFor = 6 * time.Second
@@ -132,27 +137,43 @@
 	return false
 }
 
-// Plan returns the calls that are due. Loads holds what each life of a worker runs.
-func (s *State) Plan(machines []mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []Call {
+// Plan is what is due.
+type Plan struct {
+	Calls []Call
+	// Over holds the lives of workers that are over by what the list shows.
+	Over []mothferry.WorkerID
+}
+
+// Plan returns what is due. Loads holds what each life of a worker runs.
+func (s *State) Plan(machines []mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) Plan {
 	listed := map[mothferry.MachineID]mothferry.Machine{}
 	for _, m := range machines {
 		listed[m.Machine] = m
 	}
-	s.settle(listed, now)
+	plan := Plan{Over: s.settle(listed, now)}
 	for _, id := range s.waves() {
 		s.planWave(s.Waves[id], listed, loads, now)
 	}
-	return s.due(loads, now)
+	plan.Calls = s.due(loads, now)
+	return plan
 }
 
-// settle ends the errands of machines that are back, or gone.
-func (s *State) settle(listed map[mothferry.MachineID]mothferry.Machine, now time.Time) {
+// settle ends the errands of machines that are back, or gone. It returns the
+// lives of workers that are over. Only the list tells that, not the answer to
+// a call: that one is the same where the machine was taken down before.
+func (s *State) settle(listed map[mothferry.MachineID]mothferry.Machine, now time.Time) []mothferry.WorkerID {
+	var over []mothferry.WorkerID
 	for id, e := range s.errands {
 		m, there := listed[id]
+		same := there && m.State == mothferry.MachineUp && m.Worker == e.worker
+		if there && !e.over && lifeIsOver(m, e.worker) {
+			e.over = true
+			over = append(over, e.worker)
+		}
 		switch {
 		case !there:
 			delete(s.errands, id)
-		case e.phase == phaseAway && m.State == mothferry.MachineUp && m.Worker != e.worker:
+		case e.phase == phaseAway && m.State == mothferry.MachineUp && (!same || now.Sub(e.since) > listedWithin):
 			delete(s.errands, id)
 		case e.phase == phaseEmptying && (m.State != mothferry.MachineUp || m.Worker != e.worker):
 			// Its worker crashed, or somebody else acted on it: begin anew.
@@ -161,6 +182,16 @@
 			delete(s.errands, id)
 		}
 	}
+	return over
+}
+
+// lifeIsOver reports whether the list shows that a life of a machine's worker
+// is over. A machine that is down, or not listed, may only be unreachable.
+func lifeIsOver(m mothferry.Machine, worker mothferry.WorkerID) bool {
+	if m.State == mothferry.MachineUp {
+		return m.Worker != "" && m.Worker != worker
+	}
+	return m.State == mothferry.MachineUpkeep || m.State == mothferry.MachineMoving
 }
 
 // waves returns the waves in the order of their deadlines.
@@ -257,12 +288,11 @@
 	AnswerUnknown Answer = "unknown"
 )
 
-// Answered takes in the answer to a call. It returns the life of a worker that
-// has ended by it, if one has.
-func (s *State) Answered(c Call, answer Answer, now time.Time) (mothferry.WorkerID, bool) {
+// Answered takes in the answer to a call.
+func (s *State) Answered(c Call, answer Answer, now time.Time) {
 	e, ok := s.errands[c.Machine]
 	if !ok || e.call != c {
-		return "", false
+		return
 	}
 	switch answer {
 	case AnswerDone:
@@ -270,11 +300,9 @@
 		if w, ok := s.Waves[c.Wave]; ok && c.Kind == KindUpkeep {
 			w.Done[c.Machine] = true
 		}
-		return e.worker, true
 	case AnswerRefused:
 		delete(s.errands, c.Machine)
 	}
-	return "", false
 }
 
 // Leaving returns the workers that are to run out of work.
--- /dev/null
+++ b/mfduty/duty_test.go
@@ -0,0 +1,81 @@
+package mfduty_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfduty"
+	"mothferry/mfsched"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func up(id mothferry.MachineID, worker mothferry.WorkerID) mothferry.Machine {
+	return mothferry.Machine{Machine: id, Worker: worker, Pool: "s", State: mothferry.MachineUp}
+}
+
+func wave(atOnce int, machines ...mothferry.MachineID) mfsched.Wave {
+	return mfsched.Wave{Wave: 1, Machines: machines, Within: 20 * time.Second, AtOnce: atOnce}
+}
+
+// Symptom: tasks ran twice at the same time during a wave.
+// Events: an owner has a machine taken down, and dies before that is stored;
+// its successor asks for the same machine again, which the platform answers as
+// done because it was done already.
+// Cause: the answer alone was taken to mean that the worker's life is over, so
+// that the tasks of the new life were started elsewhere too.
+func TestAnswerAloneEndsNoLife(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1"), start)
+	machines := []mothferry.Machine{up("m-1", "w-2")}
+	plan := s.Plan(machines, nil, start)
+	assert.Equal(t, len(plan.Calls), 1)
+	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
+	for d := time.Duration(0); d < 3*time.Second; d += 300 * time.Millisecond {
+		plan = s.Plan(machines, nil, start.Add(d))
+		assert.Equal(t, len(plan.Over), 0)
+		assert.Equal(t, len(plan.Calls), 0)
+	}
+	assert.Assert(t, s.Waves[1].Completed)
+	assert.Equal(t, len(s.Leaving()), 0)
+}
+
+func TestLifeIsOverOnceTheListShowsIt(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1"), start)
+	plan := s.Plan([]mothferry.Machine{up("m-1", "w-1")}, nil, start)
+	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
+	down := mothferry.Machine{Machine: "m-1", Pool: "s", State: mothferry.MachineUpkeep}
+	plan = s.Plan([]mothferry.Machine{down}, nil, start.Add(300*time.Millisecond))
+	assert.DeepEqual(t, plan.Over, []mothferry.WorkerID{"w-1"})
+}
+
+// More machines than the wave allows must not be down, also while the answer
+// to a call is not known.
+func TestWaveKeepsToItsBound(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1", "m-2"), start)
+	machines := []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}
+	first := s.Plan(machines, nil, start).Calls
+	assert.Equal(t, len(first), 1)
+	s.Answered(first[0], mfduty.AnswerUnknown, start)
+	for d := 300 * time.Millisecond; d < 4*time.Second; d += 300 * time.Millisecond {
+		for _, c := range s.Plan(machines, nil, start.Add(d)).Calls {
+			assert.Equal(t, c.Machine, first[0].Machine)
+		}
+	}
+}
+
+// A machine with work on it is emptied first.
+func TestBusyMachineIsEmptiedFirst(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1"), start)
+	machines := []mothferry.Machine{up("m-1", "w-1")}
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 1, Lasting: 1}}
+	assert.Equal(t, len(s.Plan(machines, loads, start).Calls), 0)
+	assert.Assert(t, s.Leaving()["w-1"])
+	assert.Equal(t, len(s.Plan(machines, nil, start.Add(time.Second)).Calls), 1)
+}
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -158,9 +158,12 @@
 	if !s.mayChangeMachines(now) {
 		return
 	}
-	calls := s.duties.state.Plan(machines, s.state.Loads(), now)
+	plan := s.duties.state.Plan(machines, s.state.Loads(), now)
+	for _, id := range plan.Over {
+		s.step(mfsched.WorkerOver{Worker: id})
+	}
 	s.step(mfsched.WorkersLeaving{Workers: s.duties.state.Leaving()})
-	for _, c := range calls {
+	for _, c := range plan.Calls {
 		go s.callMachine(c)
 	}
 }
@@ -191,9 +194,7 @@
 		entry = entry.WithError(err)
 	}
 	entry.Info("machine is asked for")
-	if worker, over := s.duties.state.Answered(c, answer, s.owner.Clock.Now()); over {
-		s.step(mfsched.WorkerOver{Worker: worker})
-	}
+	s.duties.state.Answered(c, answer, s.owner.Clock.Now())
 }
 
 // tellWaves tells the operator how far waves are: running once one is seen,
