Move machines to the pool whose turn has come, idle ones to standby

What: the scheduler tells each service's demand; mfpool turns it into sizes; mfduty moves empty machines, standby first. Placement fills busy machines first so that others run empty. Ruled out: order of work as the cause (all classes were late in their turn).

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"mothferry"
+	"mothferry/mfpool"
 	"mothferry/mfsched"
 )
 
@@ -94,11 +95,14 @@
 type State struct {
 	Waves   map[mothferry.WaveID]*Wave
 	errands map[mothferry.MachineID]*errand
+	sizes   mfpool.Sizes
+	// own is how many machines each pool had when it was first seen.
+	own map[mothferry.ServiceID]int
 }
 
 // New returns a state with nothing under way.
 func New() *State {
-	return &State{Waves: map[mothferry.WaveID]*Wave{}, errands: map[mothferry.MachineID]*errand{}}
+	return &State{Waves: map[mothferry.WaveID]*Wave{}, errands: map[mothferry.MachineID]*errand{}, own: map[mothferry.ServiceID]int{}}
 }
 
 // Ask takes in a wave that the operator asks for. One that is known keeps what
@@ -124,19 +128,6 @@
 	}
 }
 
-// Busy reports whether the machine list is needed.
-func (s *State) Busy() bool {
-	if len(s.errands) > 0 {
-		return true
-	}
-	for _, w := range s.Waves {
-		if !w.Completed {
-			return true
-		}
-	}
-	return false
-}
-
 // Plan is what is due.
 type Plan struct {
 	Calls []Call
@@ -144,17 +135,18 @@
 	Over []mothferry.WorkerID
 }
 
-// Plan returns what is due. Loads holds what each life of a worker runs.
-func (s *State) Plan(machines []mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) Plan {
+// Plan returns what is due.
+func (s *State) Plan(f Fleet, now time.Time) Plan {
 	listed := map[mothferry.MachineID]mothferry.Machine{}
-	for _, m := range machines {
+	for _, m := range f.Machines {
 		listed[m.Machine] = m
 	}
 	plan := Plan{Over: s.settle(listed, now)}
 	for _, id := range s.waves() {
-		s.planWave(s.Waves[id], listed, loads, now)
+		s.planWave(s.Waves[id], listed, f.Loads, now)
 	}
-	plan.Calls = s.due(loads, now)
+	s.planMoves(f, now)
+	plan.Calls = s.due(f.Loads, now)
 	return plan
 }
 
--- a/mfduty/duty_test.go
+++ b/mfduty/duty_test.go
@@ -31,11 +31,11 @@
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1"), start)
 	machines := []mothferry.Machine{up("m-1", "w-2")}
-	plan := s.Plan(machines, nil, start)
+	plan := s.Plan(mfduty.Fleet{Machines: machines}, start)
 	assert.Equal(t, len(plan.Calls), 1)
 	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
 	for d := time.Duration(0); d < 3*time.Second; d += 300 * time.Millisecond {
-		plan = s.Plan(machines, nil, start.Add(d))
+		plan = s.Plan(mfduty.Fleet{Machines: machines}, start.Add(d))
 		assert.Equal(t, len(plan.Over), 0)
 		assert.Equal(t, len(plan.Calls), 0)
 	}
@@ -46,10 +46,10 @@
 func TestLifeIsOverOnceTheListShowsIt(t *testing.T) {
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1"), start)
-	plan := s.Plan([]mothferry.Machine{up("m-1", "w-1")}, nil, start)
+	plan := s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{up("m-1", "w-1")}}, start)
 	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
 	down := mothferry.Machine{Machine: "m-1", Pool: "s", State: mothferry.MachineUpkeep}
-	plan = s.Plan([]mothferry.Machine{down}, nil, start.Add(300*time.Millisecond))
+	plan = s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{down}}, start.Add(300*time.Millisecond))
 	assert.DeepEqual(t, plan.Over, []mothferry.WorkerID{"w-1"})
 }
 
@@ -59,11 +59,11 @@
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1", "m-2"), start)
 	machines := []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}
-	first := s.Plan(machines, nil, start).Calls
+	first := s.Plan(mfduty.Fleet{Machines: machines}, start).Calls
 	assert.Equal(t, len(first), 1)
 	s.Answered(first[0], mfduty.AnswerUnknown, start)
 	for d := 300 * time.Millisecond; d < 4*time.Second; d += 300 * time.Millisecond {
-		for _, c := range s.Plan(machines, nil, start.Add(d)).Calls {
+		for _, c := range s.Plan(mfduty.Fleet{Machines: machines}, start.Add(d)).Calls {
 			assert.Equal(t, c.Machine, first[0].Machine)
 		}
 	}
@@ -75,7 +75,7 @@
 	s.Ask(wave(1, "m-1"), start)
 	machines := []mothferry.Machine{up("m-1", "w-1")}
 	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 1, Lasting: 1}}
-	assert.Equal(t, len(s.Plan(machines, loads, start).Calls), 0)
+	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines, Loads: loads}, start).Calls), 0)
 	assert.Assert(t, s.Leaving()["w-1"])
-	assert.Equal(t, len(s.Plan(machines, nil, start.Add(time.Second)).Calls), 1)
+	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines}, start.Add(time.Second)).Calls), 1)
 }
--- /dev/null
+++ b/mfduty/move.go
@@ -0,0 +1,131 @@
+package mfduty
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mothferry"
+	"mothferry/mfpool"
+	"mothferry/mfsched"
+)
+
+// Fleet is what moves are decided by.
+type Fleet struct {
+	Machines []mothferry.Machine
+	Loads    map[mothferry.WorkerID]mfsched.Load
+	Demands  map[mothferry.ServiceID]mfsched.Demand
+	// Standby holds the pools whose machines are off.
+	Standby map[mothferry.ServiceID]bool
+}
+
+// planMoves makes errands of machines that move: to pools that have too few,
+// from standby first and then from pools that have too many, and from those to
+// standby.
+func (s *State) planMoves(f Fleet, now time.Time) {
+	pools := s.pools(f)
+	targets := s.sizes.Target(pools, now)
+	free := s.freeMachines(f, pools, targets)
+	for _, id := range neediest(pools, targets) {
+		for missing := targets[id] - pools[id].Machines; missing > 0 && len(free) > 0; missing-- {
+			s.send(free[0], id, now)
+			free = free[1:]
+		}
+	}
+	home, ok := standbyPool(f.Standby)
+	if !ok {
+		return
+	}
+	for _, m := range free {
+		if !f.Standby[m.Pool] {
+			s.send(m, home, now)
+		}
+	}
+}
+
+func (s *State) send(m mothferry.Machine, pool mothferry.ServiceID, now time.Time) {
+	s.errands[m.Machine] = &errand{call: Call{Kind: KindMove, Machine: m.Machine, Pool: pool}, worker: m.Worker, since: now}
+}
+
+// standbyPool returns the pool to which machines go that nobody needs.
+func standbyPool(standby map[mothferry.ServiceID]bool) (mothferry.ServiceID, bool) {
+	var home mothferry.ServiceID
+	for id, is := range standby {
+		if is && (home == "" || id < home) {
+			home = id
+		}
+	}
+	return home, home != ""
+}
+
+// pools counts machines by the pool that they are in or on their way to.
+func (s *State) pools(f Fleet) map[mothferry.ServiceID]mfpool.Pool {
+	pools := map[mothferry.ServiceID]mfpool.Pool{}
+	for _, m := range f.Machines {
+		id := m.Pool
+		if e, ok := s.errands[m.Machine]; ok && e.call.Kind == KindMove {
+			id = e.call.Pool
+		}
+		if f.Standby[id] {
+			continue
+		}
+		p := pools[id]
+		p.Machines++
+		p.Cores = max(p.Cores, float64(m.Capacity.Cores)/1000)
+		p.Demand = f.Demands[id]
+		pools[id] = p
+	}
+	for id, p := range pools {
+		if _, known := s.own[id]; !known {
+			s.own[id] = p.Machines
+		}
+		p.Own = s.own[id]
+		pools[id] = p
+	}
+	return pools
+}
+
+// freeMachines returns machines that their pool can spare, standby first. Only
+// machines without any task are taken, so that a move ends nothing.
+func (s *State) freeMachines(f Fleet, pools map[mothferry.ServiceID]mfpool.Pool, targets map[mothferry.ServiceID]int) []mothferry.Machine {
+	surplus := map[mothferry.ServiceID]int{}
+	for id, p := range pools {
+		surplus[id] = p.Machines - targets[id]
+	}
+	var free []mothferry.Machine
+	for _, m := range f.Machines {
+		if _, busy := s.errands[m.Machine]; busy || m.State != mothferry.MachineUp {
+			continue
+		}
+		switch {
+		case f.Standby[m.Pool]:
+			free = append(free, m)
+		case surplus[m.Pool] > 0 && f.Loads[m.Worker].Tasks == 0:
+			surplus[m.Pool]--
+			free = append(free, m)
+		}
+	}
+	slices.SortStableFunc(free, func(a, b mothferry.Machine) int {
+		return cmp.Or(rank(f.Standby[a.Pool])-rank(f.Standby[b.Pool]), cmp.Compare(a.Machine, b.Machine))
+	})
+	return free
+}
+
+func rank(standby bool) int {
+	if standby {
+		return 0
+	}
+	return 1
+}
+
+// neediest orders pools by how many machines they miss.
+func neediest(pools map[mothferry.ServiceID]mfpool.Pool, targets map[mothferry.ServiceID]int) []mothferry.ServiceID {
+	var ids []mothferry.ServiceID
+	for id := range pools {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b mothferry.ServiceID) int {
+		return cmp.Or(cmp.Compare(targets[b]-pools[b].Machines, targets[a]-pools[a].Machines), cmp.Compare(a, b))
+	})
+	return ids
+}
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -18,11 +18,9 @@
 )
 
 const (
-	// dutyEvery is how often machines are listed while something is under way:
-	// fast beside the two seconds that an upkeep or a move takes.
+	// dutyEvery is how often machines are listed and duties planned: fast beside
+	// the two seconds that an upkeep or a move takes.
 	dutyEvery = 350 * time.Millisecond
-	// calmDutyEvery is the same while nothing is.
-	calmDutyEvery = time.Second
 	// callWithin is how long after the last stored commit machines may be
 	// changed: below ownerLease, so that no other host owns the shard by then.
 	callWithin = time.Second
@@ -34,6 +32,7 @@
 type duties struct {
 	state   *mfduty.State
 	listing bool
+	standby map[mothferry.ServiceID]bool
 	next    time.Time
 	// stored is what the store holds of each wave.
 	stored map[mothferry.WaveID]string
@@ -135,10 +134,6 @@
 		s.duties.state.Ask(w, now)
 	}
 	s.tellWaves()
-	s.duties.next = now.Add(calmDutyEvery)
-	if !s.duties.state.Busy() {
-		return
-	}
 	s.duties.next = now.Add(dutyEvery)
 	s.duties.listing = true
 	go func() {
@@ -158,7 +153,9 @@
 	if !s.mayChangeMachines(now) {
 		return
 	}
-	plan := s.duties.state.Plan(machines, s.state.Loads(), now)
+	plan := s.duties.state.Plan(mfduty.Fleet{
+		Machines: machines, Loads: s.state.Loads(), Demands: s.state.Demands(now), Standby: s.duties.standby,
+	}, now)
 	for _, id := range plan.Over {
 		s.step(mfsched.WorkerOver{Worker: id})
 	}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -263,6 +263,7 @@
 	for _, v := range c.Services {
 		e.Standby[v.ID] = v.Standby
 	}
+	s.duties.standby = e.Standby
 	s.step(e)
 }
 
--- /dev/null
+++ b/mfpool/pool.go
@@ -0,0 +1,85 @@
+// Package mfpool decides how many machines each pool should have.
+//
+// The load it answers: the pools' demand comes in turns. One pool is asked for
+// several times its mean for some seconds, more than its machines can do,
+// while the others are nearly idle. A move takes about two seconds until the
+// machine works, and costs about as much as a machine that is kept for one
+// second; an idle machine costs all the time, one on standby nothing.
+package mfpool
+
+import (
+	"math"
+	"time"
+
+	"mothferry"
+	"mothferry/mfsched"
+)
+
+// Figures of the sizes.
+const (
+	// drainWithin is the time in which waiting work should be done: about what
+	// a job can wait and still be in time.
+	drainWithin = 1.2
+	// packing is the part of a machine's cores that tasks of several sizes fill.
+	packing = 0.85
+	// spare machines beyond what demand asks for.
+	spare = 1
+	// reserve is the fewest machines that a pool keeps, as a part of what it
+	// has of its own: they take the first two seconds of its turn, until others
+	// have come.
+	reserve = 0.5
+	// keepFor is how long a pool's need is remembered before it shrinks.
+	keepFor = 1500 * time.Millisecond
+)
+
+// Pool is one pool as it stands.
+type Pool struct {
+	// Machines counts those that are in it, or on their way to it.
+	Machines int
+	// Own is how many it had when it was first seen.
+	Own int
+	// Cores is what one machine has.
+	Cores  float64
+	Demand mfsched.Demand
+}
+
+// need returns how many machines a pool's demand asks for.
+func (p Pool) need() int {
+	if p.Cores <= 0 {
+		return p.Machines
+	}
+	cores := p.Demand.Arriving + p.Demand.Waiting/drainWithin + p.Demand.Lasting
+	machines := int(math.Ceil(cores/(p.Cores*packing))) + spare
+	floor := int(math.Ceil(float64(p.Own) * reserve))
+	return max(machines, floor, p.Demand.Widest+1)
+}
+
+// Sizes decides over time. The zero value is ready for use.
+type Sizes struct {
+	peaks map[mothferry.ServiceID]peak
+}
+
+// peak is the largest need seen lately.
+type peak struct {
+	need int
+	at   time.Time
+}
+
+// Target returns how many machines each pool should have: its largest need of
+// late, so that a short lull sends no machine away that is needed again before
+// it could be back.
+func (s *Sizes) Target(pools map[mothferry.ServiceID]Pool, now time.Time) map[mothferry.ServiceID]int {
+	if s.peaks == nil {
+		s.peaks = map[mothferry.ServiceID]peak{}
+	}
+	targets := map[mothferry.ServiceID]int{}
+	for id, p := range pools {
+		need := p.need()
+		old := s.peaks[id]
+		if need >= old.need || now.Sub(old.at) > keepFor {
+			s.peaks[id] = peak{need: need, at: now}
+		}
+		targets[id] = s.peaks[id].need
+	}
+	return targets
+}
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -191,7 +191,9 @@
 const (
 	weightRack  = 4.0
 	weightAvoid = -16.0
-	weightFree  = 1.0
+	// weightUsed fills machines that have work already, so that others run
+	// empty and can go where they are needed.
+	weightUsed = 1.0
 	// weightSpread keeps tasks of a lasting step apart, so that one machine's
 	// end takes few of them away.
 	weightSpread = -2.0
@@ -209,7 +211,7 @@
 		score += weightAvoid
 	}
 	if w.Capacity.Cores > 0 {
-		score += weightFree * float64(w.Capacity.Cores-w.used.Cores) / float64(w.Capacity.Cores)
+		score += weightUsed * float64(w.used.Cores) / float64(w.Capacity.Cores)
 	}
 	if of.Lasting {
 		score += weightSpread * float64(s.stepTasksOn(t.step, w))
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -137,6 +137,8 @@
 	live    map[mothferry.JobID]*job
 	workers map[mothferry.WorkerID]*worker
 	leaving map[mothferry.WorkerID]bool
+	// arrivals holds how much work came lately for each service.
+	arrivals map[mothferry.ServiceID]*arrivals
 
 	dirty map[mothferry.JobID]*job
 	// planned holds tasks whose intent is not in a commit yet, committing those
@@ -167,6 +169,7 @@
 		standby: map[mothferry.ServiceID]bool{},
 		jobs:    map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
 		leaving: map[mothferry.WorkerID]bool{}, dirty: map[mothferry.JobID]*job{},
+		arrivals:       map[mothferry.ServiceID]*arrivals{},
 		noting:         map[mothferry.WorkerID]mothferry.EndNumber{},
 		cancelledEarly: map[mothferry.JobID]bool{},
 	}
@@ -241,6 +244,9 @@
 	for k := range e.Submission.Occurrences() {
 		j.occurrences = append(j.occurrences, newOccurrence(j, k, now))
 	}
+	if e.Progress == nil && s.loaded {
+		s.arrived(j, now)
+	}
 	if e.Progress != nil {
 		j.state = e.Progress.State
 		s.restore(j, *e.Progress, now)
