Count the first answer to a stop only

Test: TestAnsweredStopStaysAnswered, seen to fail before. Also: a lasting task that is away for long is logged once with its phase and worker.

--- /dev/null
+++ b/mfsched/away.go
@@ -0,0 +1,45 @@
+package mfsched
+
+import "time"
+
+// noteAway logs once why a lasting task is away for longer than its users
+// would not notice.
+func (s *State) noteAway(now time.Time) {
+	for _, j := range s.live {
+		if !j.submission.Lasts() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, p := range o.steps {
+				for _, t := range p.tasks {
+					s.noteTaskAway(t, now)
+				}
+			}
+		}
+	}
+}
+
+func (s *State) noteTaskAway(t *task, now time.Time) {
+	if !t.step.of.Lasting || t.away.IsZero() {
+		t.awayTold = false
+		return
+	}
+	if t.awayTold || now.Sub(t.away) < s.Limits.AtWorkWithin {
+		return
+	}
+	t.awayTold = true
+	d := Decision{Message: "lasting task is away", Job: t.job.id, Fields: map[string]any{
+		"step": t.name.Step, "index": t.name.Index, "run": t.run, "phase": t.phase.String(), "percent": t.percent,
+		"usable": len(s.usable(s.queueOf(t.job).Service, now)),
+	}}
+	if t.worker != nil {
+		d.Worker = t.worker.at.Worker
+		d.Fields["worker_failing"], d.Fields["worker_listed"] = t.worker.failing, t.worker.listed
+	}
+	s.emit(d)
+}
+
+// String names a phase in logs.
+func (p phase) String() string {
+	return [...]string{"waiting", "planned", "sent", "running", "unclear", "stopping", "done"}[p]
+}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -283,7 +283,11 @@
 		return
 	}
 	if e.Result == ResultDone {
-		t.stopped = now
+		if t.stopped.IsZero() {
+			// The first answer is what counts: from then on the worker refuses
+			// that run. Later ones would always be newer than the look under way.
+			t.stopped = now
+		}
 		if t.phase == phaseUnclear {
 			// The look under way waits for ends and would show only later that
 			// nothing is there.
--- a/mfsched/silent_test.go
+++ b/mfsched/silent_test.go
@@ -46,3 +46,40 @@
 	}
 	t.Fatal("the task was not started elsewhere")
 }
+
+// Symptom: a lasting task was away for 20 s though there was room, until
+// another host became the owner.
+// Events: a task's worker neither runs it nor lists its end; the stop is
+// answered while a look waits, and the look's answer has it sent again.
+// Cause: each answer to a stop counted anew, so that it always came after the
+// look under way was sent, and no look ever counted as later.
+func TestAnsweredStopStaysAnswered(t *testing.T) {
+	s := newScript(t)
+	s.list("w-1")
+	s.pass(10 * time.Millisecond)
+	s.look("w-1", mothferry.LookReport{})
+	s.submit("j", 1)
+	s.pass(50 * time.Millisecond)
+	o := taken[mfsched.Start](s)[0].Order
+	s.step(mfsched.StartAnswered{Worker: "w-1", Task: o.Task, Run: 1, Result: mfsched.ResultDone})
+	s.pass(100 * time.Millisecond)
+	s.step(mfsched.CancelFound{Job: "j"})
+	began := s.now
+	for s.now.Sub(began) < 5*time.Second {
+		looks := taken[mfsched.Look](s)
+		sent := s.now
+		// The answer to a stop arrives just after the look was sent.
+		s.pass(10 * time.Millisecond)
+		for _, c := range taken[mfsched.Stop](s) {
+			s.step(mfsched.StopAnswered{Worker: "w-1", Task: c.Task, Run: c.Run, Result: mfsched.ResultDone})
+		}
+		s.pass(time.Second)
+		for range looks {
+			s.step(mfsched.LookAnswered{Worker: "w-1", Sent: sent, Report: mothferry.LookReport{
+				Clock: mothferry.WorkerClock(s.now.Sub(start) + time.Hour),
+			}})
+		}
+		s.pass(10 * time.Millisecond)
+	}
+	assert.Equal(t, s.state.Loads()["w-1"].Tasks, 0)
+}
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -70,6 +70,8 @@
 	tail     time.Duration
 	// away is since when a lasting task is not at work.
 	away time.Time
+	// awayTold says that the log has been told that it is away.
+	awayTold bool
 	pace int
 	// overTarget is since when a serving task's tail is too long; zero if it is not.
 	overTarget time.Time
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -21,6 +21,7 @@
 		s.expire(now)
 		s.unstick(now)
 		s.evacuate(now)
+		s.noteAway(now)
 		s.forget(now)
 	}
 	if s.inFlight || now.Sub(s.lastCommit) < commitGap {
