Play the decisions against an emulator: seeded histories of faults

What: mfemulate models store, workers, machines and callers in simulated time and keeps the platform's promises (fences, leases by slow clocks, ends listed until noted, late orders); its checker watches every start. The scheduler now gives the same commands for the same events, by walking workers in order. Ruled out while building: a machine sent to and fro was the model's two owners doing duties at the same time, which the owner's guard on its last commit prevents; the model has that guard now.

--- /dev/null
+++ b/mfemulate/fleet.go
@@ -0,0 +1,218 @@
+package mfemulate
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"mothferry"
+	"mothferry/mfduty"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// machine is what a worker runs on.
+type machine struct {
+	id    mothferry.MachineID
+	pool  mothferry.ServiceID
+	rack  mothferry.RackID
+	state mothferry.MachineState
+	// life is its worker, listed the life that the list of workers shows.
+	life   mothferry.WorkerID
+	listed mothferry.WorkerID
+	has    mothferry.Resources
+}
+
+// AddMachines adds machines to a pool, four to a rack, each with a worker.
+func (w *World) AddMachines(pool mothferry.ServiceID, count int, has mothferry.Resources) {
+	for i := range count {
+		m := &machine{
+			id: mothferry.MachineID(fmt.Sprintf("m-%s-%02d", pool, i)), pool: pool, has: has,
+			rack: mothferry.RackID(fmt.Sprintf("r-%s-%d", pool, i/4)),
+		}
+		w.machines = append(w.machines, m)
+		w.live(m)
+	}
+}
+
+// live starts a worker on a machine.
+func (w *World) live(m *machine) {
+	w.lives++
+	id := mothferry.WorkerID(fmt.Sprintf("w-%04d", w.lives))
+	m.life, m.state = id, mothferry.MachineUp
+	k := &worker{
+		world: w, machine: m, speed: 1 - 0.02*w.Random.Float64(),
+		running: map[mothferry.TaskName]*run{}, highest: map[mothferry.TaskName]mothferry.RunNumber{},
+		listing: mfsched.Worker{
+			At: mothferry.WorkerAddress{Worker: id, Address: string(id)}, Service: m.pool, Rack: m.rack, Capacity: m.has,
+		},
+	}
+	w.workers[id] = k
+	w.after(listLag, func() {
+		if k.over {
+			return
+		}
+		m.listed = id
+		w.tell(mfsched.WorkerListed{Worker: k.listing})
+	})
+}
+
+func (w *World) tell(e mfsched.Event) {
+	o := w.owner
+	o.do(func() { o.step(e) })
+}
+
+// end ends a life: all that it ran is gone.
+func (w *World) end(m *machine) {
+	k := w.workers[m.life]
+	k.over = true
+	k.running = map[mothferry.TaskName]*run{}
+	w.after(listLag, func() { w.tell(mfsched.WorkerUnlisted{Worker: k.listing.At.Worker}) })
+}
+
+// Crash ends a machine's worker; another life begins a while later.
+func (w *World) Crash(index int, down time.Duration) {
+	m := w.machines[index%len(w.machines)]
+	if m.state != mothferry.MachineUp {
+		return
+	}
+	w.end(m)
+	m.state = mothferry.MachineDown
+	w.after(down, func() { w.live(m) })
+}
+
+// Silence cuts a machine's worker off for a while; it runs on.
+func (w *World) Silence(index int, d time.Duration) {
+	k, there := w.workers[w.machines[index%len(w.machines)].life]
+	if !there {
+		return
+	}
+	k.silent = true
+	w.after(d, func() { k.silent = false })
+}
+
+const (
+	// handOver is how long after a takeover machines are left alone, callWithin
+	// how long after the last stored commit they may be changed, as at the
+	// real owner.
+	handOver   = 3300 * time.Millisecond
+	callWithin = time.Second
+)
+
+// duties lists machines and does what is planned.
+func (o *owner) duties() {
+	w := o.world
+	o.do(func() {
+		if w.now.Sub(o.taken) < handOver || w.now.Sub(o.confirmed) > callWithin {
+			return
+		}
+		var machines []mothferry.Machine
+		for _, m := range w.machines {
+			machines = append(machines, mothferry.Machine{Machine: m.id, Pool: m.pool, State: m.state, Capacity: m.has, Worker: m.life})
+		}
+		plan := o.duty.Plan(mfduty.Fleet{Machines: machines, Loads: o.state.Loads(), Demands: o.state.Demands(w.now), Standby: w.Standby}, w.now)
+		for _, id := range plan.Over {
+			o.step(mfsched.WorkerOver{Worker: id})
+		}
+		o.step(mfsched.WorkersLeaving{Workers: o.duty.Leaving()})
+		for _, c := range plan.Calls {
+			answer := w.moveMachine(c)
+			o.duty.Answered(c, answer, w.now)
+			if w.Watch != nil {
+				w.Watch(w.Now(), mfsched.Decision{Message: "machine is asked for", Fields: map[string]any{"machine": c.Machine, "pool": c.Pool, "answer": answer}})
+			}
+		}
+	})
+	if !o.dead {
+		w.after(dutyEvery, o.duties)
+	}
+}
+
+func (w *World) moveMachine(c mfduty.Call) mfduty.Answer {
+	i := slices.IndexFunc(w.machines, func(m *machine) bool { return m.id == c.Machine })
+	m := w.machines[i]
+	if m.state != mothferry.MachineUp {
+		return mfduty.AnswerRefused
+	}
+	w.Figures.Moves++
+	w.end(m)
+	m.state, m.life = mothferry.MachineMoving, ""
+	if c.Kind == mfduty.KindMove {
+		m.pool = c.Pool
+	}
+	w.after(moveTakes, func() { w.live(m) })
+	return mfduty.AnswerDone
+}
+
+// Submit hands a job in.
+func (w *World) Submit(s mfjob.Submission) mothferry.JobID {
+	id := mothferry.JobID(fmt.Sprintf("%016x", len(w.order)+1))
+	s.Accepted = w.now
+	w.order = append(w.order, id)
+	w.jobs[id] = &caller{id: id, submission: s, state: mfjob.StateQueued, done: map[mothferry.TaskName]bool{}}
+	w.after(inboxDelay, func() { w.tell(mfsched.JobFound{Job: id, Submission: s}) })
+	return id
+}
+
+// inboxDelay is how long an accepted job takes to its owner.
+const inboxDelay = 20 * time.Millisecond
+
+// Cancel cancels a job.
+func (w *World) Cancel(id mothferry.JobID) {
+	w.jobs[id].cancelled = w.now
+	w.after(inboxDelay, func() { w.tell(mfsched.CancelFound{Job: id}) })
+}
+
+// Sum counts how jobs ended, by each queue's objective.
+func (w *World) Sum() Figures {
+	f := w.Figures
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		c := w.jobs[id]
+		if c.submission.Lasts() || !c.cancelled.IsZero() {
+			continue
+		}
+		f.Jobs++
+		q := w.Queues[c.submission.Queue]
+		aim := time.Duration(q.Stretch*float64(c.submission.Chain())) + q.Latency
+		took := c.completed.Sub(c.submission.Accepted)
+		switch {
+		case c.state == mfjob.StateFailed:
+			f.Failed++
+		case c.state != mfjob.StateCompleted:
+			f.TooLate++
+		case took <= aim:
+			f.InTime++
+		case took <= 3*aim:
+			f.Late++
+		default:
+			f.TooLate++
+		}
+	}
+	f.MachineSeconds = math.Round(f.MachineSeconds)
+	return f
+}
+
+// Unfinished counts accepted jobs without an end that should have one.
+func (w *World) Unfinished() int {
+	count := 0
+	for _, c := range w.jobs {
+		if !c.submission.Lasts() && !c.state.Final() {
+			count++
+		}
+	}
+	return count
+}
+
+// Describe tells of each job without an end what the store holds of it.
+func (w *World) Describe() []string {
+	var out []string
+	for _, id := range w.order {
+		c := w.jobs[id]
+		if !c.submission.Lasts() && !c.state.Final() {
+			out = append(out, fmt.Sprintf("job %s, cancelled %v: %+v", id, !c.cancelled.IsZero(), w.progress[id]))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/mfemulate/history_test.go
@@ -0,0 +1,137 @@
+package mfemulate_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mothferry"
+	"mothferry/mfemulate"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+func limits() mfsched.Limits {
+	return mfsched.Limits{
+		Hold: 4500 * time.Millisecond, HoldMax: 6 * time.Second, ExtendFor: 4 * time.Second,
+		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second,
+		AtWorkWithin: 4500 * time.Millisecond, TailBadFor: 4 * time.Second,
+	}
+}
+
+func queues() map[mothferry.QueueID]mfsched.Queue {
+	return map[mothferry.QueueID]mfsched.Queue{
+		"qa": {Service: "a", MaxAttempts: 3, Stretch: 1.6, Latency: 600 * time.Millisecond},
+		"qb": {Service: "b", MaxAttempts: 3, Stretch: 1.6, Latency: 600 * time.Millisecond},
+	}
+}
+
+// newWorld returns a world of two services with a standby pool.
+func newWorld(seed uint64, faults mfemulate.Faults, moves bool) *mfemulate.World {
+	w := &mfemulate.World{
+		Limits: limits(), Faults: faults, Random: rand.New(rand.NewPCG(seed, 7)), Queues: queues(),
+		Standby: map[mothferry.ServiceID]bool{"off": true}, Moves: moves,
+	}
+	w.Begin()
+	has := mothferry.Resources{Cores: 16000, Memory: 32 * mothferry.Gibibyte}
+	w.AddMachines("a", 5, has)
+	w.AddMachines("b", 5, has)
+	w.AddMachines("off", 3, has)
+	return w
+}
+
+// job draws a job of one to three steps.
+func job(r *rand.Rand, queue mothferry.QueueID, service mothferry.ServiceID) mfjob.Submission {
+	s := mfjob.Submission{Queue: queue, Service: service, Spec: "spec"}
+	for i := range 1 + r.IntN(3) {
+		p := mfjob.Step{
+			Count:    1 + r.IntN(6),
+			Need:     mothferry.Resources{Cores: mothferry.Millicores(500 + r.IntN(2500)), Memory: mothferry.Gibibyte},
+			Estimate: time.Duration(200+r.IntN(800)) * time.Millisecond,
+		}
+		if i > 0 {
+			p.After = []int{r.IntN(i)}
+		}
+		s.Steps = append(s.Steps, p)
+	}
+	return s
+}
+
+func lasting(queue mothferry.QueueID, service mothferry.ServiceID) mfjob.Submission {
+	return mfjob.Submission{Queue: queue, Service: service, Spec: "spec", Steps: []mfjob.Step{{
+		Count: 4, Need: mothferry.Resources{Cores: 1500, Memory: mothferry.Gibibyte}, Estimate: 500 * time.Millisecond,
+		Lasting: true, PerWorker: 1, MayMiss: 1,
+	}}}
+}
+
+// Histories of faults, drawn by seed: orders and answers lost, orders carried
+// out seconds late, commits without answer, owners killed, frozen and cut off
+// from the store while they still reach workers, workers crashed and silent,
+// machines moving. Whatever comes, no task runs twice at the same time or after
+// it was done, none starts before its turn or after its job's cancel, nothing is
+// shown as completed that is not; and once the faults are over, every accepted
+// job comes to an end.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := history(seed)
+		assert.Equal(t, len(w.Broken), 0, "%v", w.Broken)
+		f := w.Sum()
+		unfinished := f.Jobs - f.InTime - f.Late - f.Failed - f.TooLate
+		assert.Equal(t, unfinished, 0)
+		assert.Equal(t, w.Unfinished(), 0, "jobs without an end")
+	})
+}
+
+func history(seed uint64) *mfemulate.World {
+	r := rand.New(rand.NewPCG(seed, 1))
+	rate := func(most float64) float64 {
+		if r.IntN(2) == 0 {
+			return 0
+		}
+		return r.Float64() * most
+	}
+	w := newWorld(seed, mfemulate.Faults{
+		LoseOrder: rate(0.05), LoseAnswer: rate(0.1), LateOrder: rate(0.1), LateBy: 8 * time.Second,
+		LoseCommit: rate(0.1), FailTask: rate(0.05),
+	}, r.IntN(2) == 0)
+	const busy = 20 * time.Second
+	at := func() time.Duration { return time.Second + time.Duration(r.Int64N(int64(busy))) }
+	for range 60 {
+		s := job(r, "qa", "a")
+		if r.IntN(2) == 0 {
+			s = job(r, "qb", "b")
+		}
+		d := at()
+		w.At(d, func() {
+			id := w.Submit(s)
+			if s.Steps[0].Count == 3 {
+				w.At(w.Now()+400*time.Millisecond, func() { w.Cancel(id) })
+			}
+		})
+	}
+	w.At(500*time.Millisecond, func() { w.Submit(lasting("qa", "a")) })
+	for range r.IntN(3) {
+		w.At(at(), func() { w.Kill(1700 * time.Millisecond) })
+	}
+	for range r.IntN(2) {
+		w.At(at(), func() { w.Freeze(1700*time.Millisecond, 4*time.Second) })
+	}
+	for range r.IntN(2) {
+		w.At(at(), func() { w.Cut(1700 * time.Millisecond) })
+	}
+	for range r.IntN(4) {
+		i := r.IntN(13)
+		w.At(at(), func() { w.Crash(i, 2*time.Second) })
+	}
+	for range r.IntN(4) {
+		i, d := r.IntN(13), time.Duration(r.Int64N(int64(8*time.Second)))
+		w.At(at(), func() { w.Silence(i, d) })
+	}
+	w.At(busy+8*time.Second, func() { w.Faults = mfemulate.Faults{} })
+	w.Run(busy + 60*time.Second)
+	return w
+}
--- /dev/null
+++ b/mfemulate/owner.go
@@ -0,0 +1,267 @@
+package mfemulate
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"mothferry"
+	"mothferry/mfduty"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// owner is one host's ownership of the shard.
+type owner struct {
+	world *World
+	state *mfsched.State
+	duty  *mfduty.State
+	epoch mothferry.Epoch
+	// dead owners do nothing more; frozen ones keep what reaches them for later.
+	dead   bool
+	frozen bool
+	cut    bool
+	kept   []func()
+	// taken is when it took over, confirmed when its last stored commit was.
+	taken, confirmed time.Time
+}
+
+// TakeOver makes a new owner from what the store holds. The old one is not
+// told: it finds out when it commits.
+func (w *World) TakeOver() {
+	w.epoch++
+	w.Figures.Takeovers++
+	o := &owner{world: w, epoch: w.epoch, state: mfsched.New(w.Limits, w.epoch, w.now), duty: mfduty.New(), taken: w.now}
+	w.owner = o
+	o.step(mfsched.ConfigChanged{Queues: w.Queues, Standby: w.Standby})
+	for _, id := range w.order {
+		c := w.jobs[id]
+		e := mfsched.JobFound{Job: id, Submission: c.submission}
+		if p, ok := w.progress[id]; ok {
+			e.Progress = &p
+		}
+		o.step(e)
+		if !c.cancelled.IsZero() {
+			o.step(mfsched.CancelFound{Job: id})
+		}
+	}
+	o.step(mfsched.JobsLoaded{})
+	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
+		if v := w.workers[id]; !v.over && v.machine.listed == id {
+			o.step(mfsched.WorkerListed{Worker: v.listing})
+		}
+	}
+	o.tick()
+	if w.Moves {
+		o.duties()
+	}
+}
+
+// Kill ends the owner at once; another one takes over a while later.
+func (w *World) Kill(vacant time.Duration) {
+	w.owner.dead = true
+	w.after(vacant, w.TakeOver)
+}
+
+// Freeze stops the owner for a time, while another one takes over. It goes on
+// afterwards with what it knew.
+func (w *World) Freeze(vacant, frozen time.Duration) {
+	o := w.owner
+	o.frozen = true
+	w.after(vacant, w.TakeOver)
+	w.after(frozen, func() {
+		o.frozen = false
+		kept := o.kept
+		o.kept = nil
+		for _, f := range kept {
+			f()
+		}
+	})
+}
+
+// Cut parts the owner from the store, but not from workers; another one takes over.
+func (w *World) Cut(vacant time.Duration) {
+	w.owner.cut = true
+	w.after(vacant, w.TakeOver)
+}
+
+// do runs f as the owner, now or when it is no longer frozen.
+func (o *owner) do(f func()) {
+	switch {
+	case o.dead:
+	case o.frozen:
+		o.kept = append(o.kept, f)
+	default:
+		f()
+	}
+}
+
+func (o *owner) tick() {
+	o.do(func() { o.step(mfsched.Tick{}) })
+	if !o.dead {
+		o.world.after(tickEvery, o.tick)
+	}
+}
+
+func (o *owner) step(e mfsched.Event) {
+	for _, c := range o.state.Step(e, o.world.now) {
+		o.execute(c)
+	}
+}
+
+func (o *owner) execute(c mfsched.Command) {
+	w := o.world
+	switch v := c.(type) {
+	case mfsched.Commit:
+		w.Figures.Commits++
+		w.after(commitDelay, func() { o.commit(v) })
+	case mfsched.Start:
+		w.Figures.Starts++
+		o.order(v.At.Worker, func(k *worker) error { return k.start(v.Order) }, func(r mfsched.OrderResult, why mothferry.OrderRefusal) {
+			if r == mfsched.ResultRefused {
+				w.Figures.Refused++
+			}
+			o.step(mfsched.StartAnswered{Worker: v.At.Worker, Task: v.Order.Task, Run: v.Order.Run, Result: r, Refusal: why})
+		})
+	case mfsched.Stop:
+		w.Figures.Stops++
+		o.order(v.At.Worker, func(k *worker) error { return k.stop(v.Task, v.Run, o.epoch) }, func(r mfsched.OrderResult, _ mothferry.OrderRefusal) {
+			o.step(mfsched.StopAnswered{Worker: v.At.Worker, Task: v.Task, Run: v.Run, Result: r})
+		})
+	case mfsched.Decision:
+		if w.Watch != nil {
+			w.Watch(w.Now(), v)
+		}
+	case mfsched.Look:
+		w.Figures.Looks++
+		o.look(v)
+	}
+}
+
+// commit stores progress if the shard is still this owner's.
+func (o *owner) commit(c mfsched.Commit) {
+	w := o.world
+	if o.cut {
+		// No answer: the owner goes on asking, in vain.
+		return
+	}
+	if o.epoch != w.epoch {
+		o.dead = true
+		return
+	}
+	for id, p := range c.Progress {
+		w.progress[id] = p
+		w.note(id, p.State)
+	}
+	o.confirmed = w.now
+	delay := commitDelay / 2
+	if w.chance(w.Faults.LoseCommit) {
+		delay += callTimeout
+	}
+	w.after(delay, func() { o.do(func() { o.step(mfsched.CommitDone{Number: c.Number}) }) })
+}
+
+// note takes in the state of a job that callers can read.
+func (w *World) note(id mothferry.JobID, state mfjob.State) {
+	c := w.jobs[id]
+	if c.state.Final() {
+		if c.state != state {
+			w.broken("job %s was %s and is shown as %s", id, c.state, state)
+		}
+		return
+	}
+	c.state = state
+	if !state.Final() {
+		return
+	}
+	c.completed = w.now
+	if state != mfjob.StateCompleted {
+		return
+	}
+	for i, s := range c.submission.Steps {
+		for x := range s.Count {
+			if !c.done[mothferry.TaskName{Job: id, Step: i, Index: x}] {
+				w.broken("job %s is shown as completed, task %d.%d has not ended", id, i, x)
+			}
+		}
+	}
+}
+
+// order sends an order over a network that loses and delays.
+func (o *owner) order(id mothferry.WorkerID, carry func(*worker) error, answered func(mfsched.OrderResult, mothferry.OrderRefusal)) {
+	w := o.world
+	unknown := func() { o.do(func() { answered(mfsched.ResultUnknown, "") }) }
+	switch {
+	case w.chance(w.Faults.LoseOrder):
+		w.after(callTimeout, unknown)
+		return
+	case w.chance(w.Faults.LateOrder):
+		w.after(callTimeout, unknown)
+		w.after(time.Duration(w.Random.Float64()*float64(w.Faults.LateBy)), func() {
+			if k := w.workers[id]; k != nil && !k.over {
+				_ = carry(k)
+			}
+		})
+		return
+	}
+	lost := w.chance(w.Faults.LoseAnswer)
+	w.after(orderDelay, func() {
+		k := w.workers[id]
+		if k == nil || k.silent || lost {
+			if k != nil && !k.over && !k.silent {
+				_ = carry(k)
+			}
+			w.after(callTimeout, unknown)
+			return
+		}
+		r, why := mfsched.ResultWorkerOver, mothferry.OrderRefusal("")
+		if !k.over {
+			r, why = resultOf(carry(k))
+		}
+		w.after(orderDelay, func() { o.do(func() { answered(r, why) }) })
+	})
+}
+
+func resultOf(err error) (mfsched.OrderResult, mothferry.OrderRefusal) {
+	var refused *mothferry.ErrOrderRefused
+	if errors.As(err, &refused) {
+		return mfsched.ResultRefused, refused.Refusal
+	}
+	return mfsched.ResultDone, ""
+}
+
+func (o *owner) look(v mfsched.Look) {
+	w := o.world
+	sent := w.now
+	over := false
+	end := func(e mfsched.Event) {
+		if !over {
+			over = true
+			o.do(func() { o.step(e) })
+		}
+	}
+	id := v.At.Worker
+	w.after(v.Order.Wait+callTimeout, func() { end(mfsched.LookFailed{Worker: id, Result: mfsched.ResultUnknown}) })
+	if w.chance(w.Faults.LoseOrder) {
+		return
+	}
+	lost := w.chance(w.Faults.LoseAnswer)
+	w.after(orderDelay, func() {
+		k := w.workers[id]
+		switch {
+		case k == nil || k.silent:
+		case k.over:
+			end(mfsched.LookFailed{Worker: id, Result: mfsched.ResultWorkerOver})
+		default:
+			err := k.look(v.Order, func(r mothferry.LookReport) {
+				if !lost {
+					w.after(orderDelay, func() { end(mfsched.LookAnswered{Worker: id, Sent: sent, Report: r}) })
+				}
+			})
+			if err != nil {
+				end(mfsched.LookFailed{Worker: id, Result: mfsched.ResultRefused})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/mfemulate/worker.go
@@ -0,0 +1,266 @@
+package mfemulate
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// worker is one life of a worker, as the platform promises it to behave.
+type worker struct {
+	world   *World
+	listing mfsched.Worker
+	machine *machine
+	// over says that this life has ended; silent that nothing reaches it.
+	over   bool
+	silent bool
+	// speed of its clock against true time, at most 2% slow.
+	speed   float64
+	epoch   mothferry.Epoch
+	until   mothferry.WorkerClock
+	lease   int
+	running map[mothferry.TaskName]*run
+	// highest holds the highest run of each task that ended or was stopped here.
+	highest map[mothferry.TaskName]mothferry.RunNumber
+	ends    []mothferry.EndedTask
+	last    mothferry.EndNumber
+	waiting []*waitingLook
+}
+
+// run is one run of a task.
+type run struct {
+	number   mothferry.RunNumber
+	step     *mfjob.Step
+	begun    time.Time
+	takes    time.Duration
+	fails    bool
+	stopping bool
+	// ended marks a run that is over, for events that are still to come.
+	ended bool
+}
+
+type waitingLook struct {
+	answer func(mothferry.LookReport)
+	done   bool
+}
+
+func (o *worker) clock() mothferry.WorkerClock {
+	return mothferry.WorkerClock(float64(o.world.now.Sub(Epoch0))*o.speed) + mothferry.WorkerClock(time.Hour)
+}
+
+// extend lengthens the lease of all that runs.
+func (o *worker) extend(until mothferry.WorkerClock) {
+	until = min(until, o.clock()+mothferry.WorkerClock(o.world.Limits.HoldMax))
+	if until <= o.until {
+		return
+	}
+	o.until = until
+	o.lease++
+	lease := o.lease
+	left := time.Duration(float64(until-o.clock()) / o.speed)
+	o.world.after(left, func() {
+		if o.lease == lease && !o.over {
+			o.endAll(mothferry.EndLapsed)
+		}
+	})
+}
+
+func (o *worker) endAll(cause mothferry.EndCause) {
+	for _, name := range o.names() {
+		o.end(name, cause)
+	}
+}
+
+func (o *worker) names() []mothferry.TaskName {
+	var names []mothferry.TaskName
+	for n := range o.running {
+		names = append(names, n)
+	}
+	slices.SortFunc(names, func(a, b mothferry.TaskName) int {
+		return slices.Compare([]byte(fmt.Sprint(a)), []byte(fmt.Sprint(b)))
+	})
+	return names
+}
+
+// end ends a run and lists that.
+func (o *worker) end(name mothferry.TaskName, cause mothferry.EndCause) {
+	r := o.running[name]
+	r.ended = true
+	delete(o.running, name)
+	o.highest[name] = max(o.highest[name], r.number)
+	o.last++
+	o.ends = append(o.ends, mothferry.EndedTask{Number: o.last, Task: name, Run: r.number, Cause: cause})
+	if cause == mothferry.EndDone {
+		o.world.jobs[name.Job].done[name] = true
+	}
+	for _, l := range o.waiting {
+		o.answer(l)
+	}
+	o.waiting = nil
+}
+
+func (o *worker) answer(l *waitingLook) {
+	if l.done {
+		return
+	}
+	l.done = true
+	l.answer(o.report())
+}
+
+func (o *worker) report() mothferry.LookReport {
+	report := mothferry.LookReport{Clock: o.clock(), Ended: slices.Clone(o.ends)}
+	for _, n := range o.names() {
+		r := o.running[n]
+		percent := int(100 * float64(o.world.now.Sub(r.begun)) / float64(max(1, r.takes)))
+		report.Running = append(report.Running, mothferry.RunningTask{Task: n, Run: r.number, Percent: min(100, percent)})
+	}
+	return report
+}
+
+// look carries a look out.
+func (o *worker) look(order mothferry.LookOrder, answer func(mothferry.LookReport)) error {
+	if order.Epoch < o.epoch {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalEpoch}
+	}
+	o.epoch = order.Epoch
+	o.extend(order.Until)
+	o.ends = slices.DeleteFunc(o.ends, func(e mothferry.EndedTask) bool { return e.Number <= order.Noted })
+	l := &waitingLook{answer: answer}
+	if len(o.ends) > 0 || order.Wait == 0 {
+		o.answer(l)
+		return nil
+	}
+	o.waiting = append(o.waiting, l)
+	o.world.after(order.Wait, func() {
+		if !o.over && !o.silent {
+			o.answer(l)
+		}
+	})
+	return nil
+}
+
+// start carries an order to start out.
+func (o *worker) start(order mothferry.StartOrder) error {
+	if order.Epoch < o.epoch {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalEpoch}
+	}
+	o.epoch = order.Epoch
+	if order.Until <= o.clock() {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalLate}
+	}
+	o.extend(order.Until)
+	if r, there := o.running[order.Task]; there && r.number == order.Run {
+		return nil
+	}
+	if order.Run <= o.highest[order.Task] {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalRun}
+	}
+	step := &o.world.jobs[order.Task.Job].submission.Steps[order.Task.Step]
+	if !o.fits(step) {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalRoom}
+	}
+	o.world.checkStart(o, order)
+	takes := o.world.duration(step)
+	r := &run{number: order.Run, step: step, begun: o.world.now, takes: takes, fails: o.world.chance(o.world.Faults.FailTask)}
+	o.running[order.Task] = r
+	if !step.Lasting {
+		o.world.after(takes, func() { o.finish(order.Task, r) })
+	}
+	return nil
+}
+
+func (o *worker) finish(name mothferry.TaskName, r *run) {
+	if r.ended || o.over {
+		return
+	}
+	cause := mothferry.EndDone
+	if r.fails {
+		cause = mothferry.EndFailed
+	}
+	o.end(name, cause)
+}
+
+func (o *worker) fits(step *mfjob.Step) bool {
+	used := mothferry.Resources{}
+	for _, r := range o.running {
+		need := r.step.Need
+		if r.step.Fills {
+			need.Cores = 0
+		}
+		used = used.Add(need)
+	}
+	need := step.Need
+	if step.Fills {
+		need.Cores = 0
+	}
+	return need.Fits(o.listing.Capacity.Sub(used))
+}
+
+// stop carries an order to stop out. A run that is not there is refused later.
+func (o *worker) stop(name mothferry.TaskName, number mothferry.RunNumber, epoch mothferry.Epoch) error {
+	if epoch < o.epoch {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalEpoch}
+	}
+	o.epoch = epoch
+	o.highest[name] = max(o.highest[name], number)
+	r, there := o.running[name]
+	if !there || r.number != number || r.stopping {
+		return nil
+	}
+	r.stopping = true
+	o.world.after(stopTakes, func() {
+		if !r.ended && !o.over {
+			o.end(name, mothferry.EndStopped)
+		}
+	})
+	return nil
+}
+
+// duration draws how long a task takes: its estimate, a fifth off either way.
+func (w *World) duration(step *mfjob.Step) time.Duration {
+	return time.Duration(float64(step.Estimate) * (0.8 + 0.4*w.Random.Float64()))
+}
+
+// checkStart watches what must never happen when a run begins.
+func (w *World) checkStart(o *worker, order mothferry.StartOrder) {
+	c := w.jobs[order.Task.Job]
+	step := c.submission.Steps[order.Task.Step]
+	for id, other := range w.workers {
+		if r, there := other.running[order.Task]; there && !other.over {
+			w.broken("task %v run %d starts on %s while run %d is on %s", order.Task, order.Run, o.listing.At.Worker, r.number, id)
+		}
+	}
+	if c.done[order.Task] && !step.Lasting && w.noted(order.Task) {
+		w.broken("task %v run %d starts after it was done", order.Task, order.Run)
+	}
+	for _, a := range step.After {
+		for x := range c.submission.Steps[a].Count {
+			before := order.Task
+			before.Step, before.Index = a, x
+			if !c.done[before] {
+				w.broken("task %v starts before %v is done", order.Task, before)
+			}
+		}
+	}
+	if !c.cancelled.IsZero() && w.now.Sub(c.cancelled) > cancelWithin {
+		w.broken("task %v starts %v after its job was cancelled", order.Task, w.now.Sub(c.cancelled))
+	}
+}
+
+// cancelWithin is how long after a cancel tasks may still start: the owner
+// hears of it within a fraction of a second, but a late order may be under way.
+const cancelWithin = 3 * time.Second
+
+// noted reports whether the store knows that a task is done.
+func (w *World) noted(name mothferry.TaskName) bool {
+	p, ok := w.progress[name.Job]
+	if !ok || name.Occurrence >= len(p.Occurrences) {
+		return ok && p.State == mfjob.StateCompleted
+	}
+	s := p.Occurrences[name.Occurrence][name.Step]
+	return s.Done || name.Index < len(s.Tasks) && s.Tasks[name.Index].Done
+}
--- /dev/null
+++ b/mfemulate/world.go
@@ -0,0 +1,222 @@
+// Package mfemulate is a model of what mothferry serves: a store, workers,
+// machines and callers, in simulated time. The real decisions (mfsched,
+// mfduty) run against it, so that a change of policy is measured in a second
+// and thousands of seeded histories of faults are played in a test.
+//
+// The model keeps to what the platform promises of workers: fencing by epoch,
+// leases by the worker's own clock, ends that are listed until they are noted,
+// orders that are lost, answered late, or carried out late. A checker watches
+// every start; what it finds is a fault of the decisions.
+package mfemulate
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// Epoch0 is when simulated time begins.
+var Epoch0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Faults are how often things go wrong, as probabilities of one call.
+type Faults struct {
+	// LoseOrder: the order never arrives. LoseAnswer: it is carried out, and
+	// the answer is lost. LateOrder: it has no answer and is carried out up to
+	// LateBy later.
+	LoseOrder  float64
+	LoseAnswer float64
+	LateOrder  float64
+	LateBy     time.Duration
+	// LoseCommit: a commit's answer is lost, and the owner has to ask again.
+	LoseCommit float64
+	// FailTask: a run fails.
+	FailTask float64
+}
+
+// Times of the model, as the platform's pages and bench days show them.
+const (
+	orderDelay  = 1500 * time.Microsecond
+	commitDelay = 6 * time.Millisecond
+	callTimeout = 700 * time.Millisecond
+	tickEvery   = 10 * time.Millisecond
+	stopTakes   = 300 * time.Millisecond
+	dutyEvery   = 350 * time.Millisecond
+	moveTakes   = 1500 * time.Millisecond
+	listLag     = 300 * time.Millisecond
+)
+
+// World is the whole model. The exported fields are set before Run.
+type World struct {
+	Limits mfsched.Limits
+	Faults Faults
+	Random *rand.Rand
+	Queues map[mothferry.QueueID]mfsched.Queue
+	// Standby holds the pools whose machines are off.
+	Standby map[mothferry.ServiceID]bool
+	// Moves says that duties run: machines move between pools.
+	Moves bool
+
+	now      time.Time
+	events   eventHeap
+	sequence int
+	owner    *owner
+	epoch    mothferry.Epoch
+	// progress is what the store holds of each job.
+	progress map[mothferry.JobID]mfjob.Progress
+	jobs     map[mothferry.JobID]*caller
+	order    []mothferry.JobID
+	workers  map[mothferry.WorkerID]*worker
+	machines []*machine
+	lives    int
+	// Figures is filled while the world runs.
+	Figures Figures
+	// Watch is told of each decision that the owner logs; it may be nil.
+	Watch func(at time.Duration, d mfsched.Decision)
+	// Broken holds what the checker found.
+	Broken []string
+}
+
+// caller is what the model knows of one job.
+type caller struct {
+	id         mothferry.JobID
+	submission mfjob.Submission
+	cancelled  time.Time
+	completed  time.Time
+	state      mfjob.State
+	// done holds tasks of which a run has done its work.
+	done map[mothferry.TaskName]bool
+}
+
+// Figures are what a run of the model measured.
+type Figures struct {
+	Jobs      int
+	InTime    int
+	Late      int
+	TooLate   int
+	Failed    int
+	Moves     int
+	Starts    int
+	Looks     int
+	Stops     int
+	Commits   int
+	Refused   int
+	Takeovers int
+	// MachineSeconds is the time of machines in pools that are not on standby.
+	MachineSeconds float64
+	// Series holds a point each half second, for a plot.
+	Series []Point
+}
+
+// Point is the state of the world at one moment.
+type Point struct {
+	At       time.Duration
+	Running  int
+	Waiting  int
+	Machines map[mothferry.ServiceID]int
+}
+
+// event is something that happens at a time.
+type event struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type eventHeap []event
+
+// Len implements heap.Interface.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+// Swap implements heap.Interface.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// Begin prepares the world. Its first owner takes over at once.
+func (w *World) Begin() {
+	w.now = Epoch0
+	w.progress = map[mothferry.JobID]mfjob.Progress{}
+	w.jobs = map[mothferry.JobID]*caller{}
+	w.workers = map[mothferry.WorkerID]*worker{}
+	w.TakeOver()
+	w.every(500*time.Millisecond, w.sample)
+}
+
+// Now returns the simulated time since the beginning.
+func (w *World) Now() time.Duration { return w.now.Sub(Epoch0) }
+
+// At has f run at a time since the beginning.
+func (w *World) At(d time.Duration, f func()) { w.at(Epoch0.Add(d), f) }
+
+func (w *World) at(t time.Time, f func()) {
+	w.sequence++
+	heap.Push(&w.events, event{at: t, sequence: w.sequence, run: f})
+}
+
+func (w *World) after(d time.Duration, f func()) { w.at(w.now.Add(d), f) }
+
+func (w *World) every(d time.Duration, f func()) {
+	w.after(d, func() {
+		f()
+		w.every(d, f)
+	})
+}
+
+// Run lets the world go on until a time since its beginning.
+func (w *World) Run(until time.Duration) {
+	end := Epoch0.Add(until)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *World) chance(p float64) bool { return p > 0 && w.Random.Float64() < p }
+
+func (w *World) broken(format string, values ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%v: ", w.Now())+fmt.Sprintf(format, values...))
+}
+
+// sample takes a point for the plot and counts machine time.
+func (w *World) sample() {
+	p := Point{At: w.Now(), Machines: map[mothferry.ServiceID]int{}}
+	for _, m := range w.machines {
+		p.Machines[m.pool]++
+		if !w.Standby[m.pool] {
+			w.Figures.MachineSeconds += 0.5
+		}
+	}
+	for _, o := range w.workers {
+		p.Running += len(o.running)
+	}
+	for _, c := range w.jobs {
+		if !c.state.Final() && c.state != mfjob.StateRunning {
+			p.Waiting++
+		}
+	}
+	w.Figures.Series = append(w.Figures.Series, p)
+}
--- a/mfsched/demand.go
+++ b/mfsched/demand.go
@@ -1,7 +1,9 @@
 package mfsched
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"mothferry"
@@ -71,7 +73,8 @@
 	for service, a := range s.arrivals {
 		demands[service] = Demand{Arriving: a.rate(now)}
 	}
-	for _, j := range s.live {
+	for _, id := range slices.Sorted(maps.Keys(s.live)) {
+		j := s.live[id]
 		q := s.queueOf(j)
 		d := demands[q.Service]
 		for _, o := range j.occurrences {
--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -5,12 +5,12 @@
 // evacuate moves lasting tasks away from workers that are leaving or drain,
 // as many at a time as their steps may miss.
 func (s *State) evacuate(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.roster {
 		if !s.leaving[w.at.Worker] && !w.Draining || w.failing {
 			continue
 		}
-		for _, t := range w.tasks {
-			if t.step.of.Lasting && t.phase == phaseRunning && s.mayStop(t, now) {
+		for _, t := range w.pick(func(t *task) bool { return t.step.of.Lasting && t.phase == phaseRunning }) {
+			if s.mayStop(t, now) {
 				s.emit(Decision{Message: "task is moved away", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{"step": t.name.Step, "index": t.name.Index, "run": t.run}})
 				s.stop(t, now)
 			}
--- a/mfsched/pace.go
+++ b/mfsched/pace.go
@@ -44,10 +44,7 @@
 
 // paceAll sets the pace of all tasks that fill on a worker.
 func (s *State) paceAll(w *worker, next func(pace int) int) {
-	for _, t := range w.tasks {
-		if !t.step.of.Fills || t.phase != phaseRunning {
-			continue
-		}
+	for _, t := range w.pick(func(t *task) bool { return t.step.of.Fills && t.phase == phaseRunning }) {
 		pace := next(t.pace)
 		if pace == t.pace {
 			continue
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -1,6 +1,7 @@
 package mfsched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -10,7 +11,8 @@
 // place gives waiting tasks to workers, in the order of candidates.
 func (s *State) place(now time.Time) {
 	byService := s.candidates(now)
-	for service, list := range byService {
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		list := byService[service]
 		workers := s.usable(service, now)
 		if len(workers) == 0 {
 			continue
@@ -29,17 +31,11 @@
 // usable returns the workers of a service that may get work now.
 func (s *State) usable(service mothferry.ServiceID, now time.Time) []*worker {
 	var out []*worker
-	for _, w := range s.workers {
+	for _, w := range s.roster {
 		if w.Service == service && s.mayGetWork(w, now) {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *worker) int {
-		if a.at.Worker < b.at.Worker {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -37,10 +37,8 @@
 			listed[r.Task] = true
 		}
 	}
-	for _, t := range w.tasks {
-		if !listed[t.name] {
-			s.missing(w, t, e.Sent, now)
-		}
+	for _, t := range w.pick(func(t *task) bool { return !listed[t.name] }) {
+		s.missing(w, t, e.Sent, now)
 	}
 	w.sealed = true
 	s.settlePace(w, now)
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -72,7 +72,7 @@
 	away time.Time
 	// awayTold says that the log has been told that it is away.
 	awayTold bool
-	pace int
+	pace     int
 	// overTarget is since when a serving task's tail is too long; zero if it is not.
 	overTarget time.Time
 }
@@ -138,6 +138,9 @@
 	// live holds the jobs that are not over.
 	live    map[mothferry.JobID]*job
 	workers map[mothferry.WorkerID]*worker
+	// roster holds the same workers in the order of their ids, so that the same
+	// events always bring the same commands in the same order.
+	roster  []*worker
 	leaving map[mothferry.WorkerID]bool
 	// arrivals holds how much work came lately for each service.
 	arrivals map[mothferry.ServiceID]*arrivals
--- a/mfsched/stuck.go
+++ b/mfsched/stuck.go
@@ -15,23 +15,21 @@
 // from their checkpoint. A worker that hangs its tasks still answers looks, so
 // nothing else would notice.
 func (s *State) unstick(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.roster {
 		if w.failing || !w.sealed {
 			continue
 		}
-		for _, t := range w.tasks {
-			if s.stuck(t, now) {
-				s.emit(Decision{Message: "task stands still", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{
-					"step": t.name.Step, "index": t.name.Index, "run": t.run, "percent": t.percent, "still_ms": now.Sub(t.advanced).Milliseconds(),
-				}})
-				t.avoid = w.at.Worker
-				s.stop(t, now)
-			}
+		for _, t := range w.pick(s.stuck) {
+			s.emit(Decision{Message: "task stands still", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{
+				"step": t.name.Step, "index": t.name.Index, "run": t.run, "percent": t.percent, "still_ms": now.Sub(t.advanced).Milliseconds(),
+			}})
+			t.avoid = w.at.Worker
+			s.stop(t, now)
 		}
 	}
 }
 
-func (s *State) stuck(t *task, now time.Time) bool {
+func (s *State) stuck(t *task) bool {
 	of := t.step.of
 	if t.phase != phaseRunning || t.pace < fullPace || of.Gang || of.Fills {
 		return false
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -1,6 +1,8 @@
 package mfsched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mothferry"
@@ -33,7 +35,7 @@
 
 // expire frees the tasks of workers whose leases have surely lapsed.
 func (s *State) expire(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range s.roster {
 		if len(w.tasks) == 0 || !w.failing && w.at.Address != "" && w.listed {
 			continue
 		}
@@ -41,10 +43,8 @@
 			continue
 		}
 		s.emit(Decision{Message: "leases have lapsed", Worker: w.at.Worker, Fields: map[string]any{"tasks": len(w.tasks), "unread_ms": now.Sub(w.read).Milliseconds()}})
-		for _, t := range w.tasks {
-			if t.phase != phasePlanned {
-				s.giveBack(t, now)
-			}
+		for _, t := range w.pick(func(t *task) bool { return t.phase != phasePlanned }) {
+			s.giveBack(t, now)
 		}
 	}
 }
@@ -64,7 +64,8 @@
 	s.number++
 	c := Commit{Number: s.number, Progress: map[mothferry.JobID]mfjob.Progress{}}
 	left := map[mothferry.JobID]*job{}
-	for id, j := range s.dirty {
+	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
+		j := s.dirty[id]
 		if len(c.Progress) >= maxCommitJobs {
 			left[id] = j
 			continue
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -1,6 +1,8 @@
 package mfsched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mothferry"
@@ -43,6 +45,26 @@
 	calmSince   time.Time
 }
 
+// pick returns the tasks on a worker for which keep holds, in the order of
+// their names.
+func (w *worker) pick(keep func(t *task) bool) []*task {
+	var out []*task
+	for _, t := range w.tasks {
+		if keep(t) {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b *task) int { return compareNames(a.name, b.name) })
+	return out
+}
+
+func compareNames(a, b mothferry.TaskName) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+func anyTask(*task) bool { return true }
+
 type strayRun struct {
 	task mothferry.TaskName
 	run  mothferry.RunNumber
@@ -54,9 +76,13 @@
 	w := &worker{at: mothferry.WorkerAddress{Worker: id}, tasks: map[mothferry.TaskName]*task{}, stray: map[strayRun]time.Time{}}
 	w.floor = s.leaseFloor()
 	s.workers[id] = w
+	at, _ := slices.BinarySearchFunc(s.roster, id, byID)
+	s.roster = slices.Insert(s.roster, at, w)
 	return w
 }
 
+func byID(w *worker, id mothferry.WorkerID) int { return cmp.Compare(w.at.Worker, id) }
+
 // leaseFloor is when every lease that an earlier owner may have extended has
 // lapsed. That owner extends leases for ExtendFor after its last commit, which
 // was before this owner's first; a worker gives at most HoldMax, by a clock
@@ -89,7 +115,7 @@
 	w.listed = false
 	s.emit(Decision{Message: "worker is no longer listed", Worker: id, Fields: map[string]any{"tasks": len(w.tasks)}})
 	if len(w.tasks) == 0 && w.at.Address == "" {
-		delete(s.workers, id)
+		s.forgetWorker(w)
 	}
 }
 
@@ -101,16 +127,13 @@
 	}
 	s.emit(Decision{Message: "worker's life is over", Worker: id, Fields: map[string]any{"tasks": len(w.tasks)}})
 	s.freeAll(w, now)
-	delete(s.workers, id)
-	delete(s.noting, id)
+	s.forgetWorker(w)
 }
 
 // freeAll lets all tasks of a worker wait again.
 func (s *State) freeAll(w *worker, now time.Time) {
-	for _, t := range w.tasks {
-		s.release(t)
-		t.away = now
-		s.touch(t.job)
+	for _, t := range w.pick(anyTask) {
+		s.giveBack(t, now)
 	}
 }
 
@@ -151,7 +174,7 @@
 
 // lookAround asks for the looks that are due.
 func (s *State) lookAround(now time.Time) {
-	for _, w := range s.workers {
+	for _, w := range slices.Clone(s.roster) {
 		if w.looks > 0 || w.at.Address == "" || now.Before(w.nextLook) {
 			continue
 		}
@@ -170,6 +193,9 @@
 // forgetWorker drops a life that is neither listed nor has work.
 func (s *State) forgetWorker(w *worker) {
 	delete(s.workers, w.at.Worker)
+	if at, found := slices.BinarySearchFunc(s.roster, w.at.Worker, byID); found {
+		s.roster = slices.Delete(s.roster, at, at+1)
+	}
 	delete(s.noting, w.at.Worker)
 }
 
