Wait for a former owner's leases from its last commit on

Cause, from an incident's logs (a data centre cut off together with the owner): tasks on workers that the successor could not reach waited 10.3 s after the takeover, for the longest lease a worker gives and from the takeover on. Also: an owner that was suspended measures by the time of day too.

--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -32,7 +32,7 @@
 func (w *World) TakeOver() {
 	w.epoch++
 	w.Figures.Takeovers++
-	o := &owner{world: w, epoch: w.epoch, state: mfsched.New(w.Limits, w.epoch, w.now), duty: mfduty.New(), taken: w.now}
+	o := &owner{world: w, epoch: w.epoch, state: mfsched.New(w.Limits, w.epoch, w.now, w.now.Add(w.Limits.LeaseTail())), duty: mfduty.New(), taken: w.now}
 	w.owner = o
 	o.step(mfsched.ConfigChanged{Queues: w.Queues, Standby: w.Standby})
 	for _, id := range w.order {
--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// floor is when the leases that the former owner asked for have all lapsed. Its
+// last commit was sent before this host first saw the version that it wrote; a
+// head that still changed when the shard was claimed was written just before.
+func (s sighting) floor(claimed time.Time) time.Time {
+	last := claimed
+	if s.read.Sub(s.since) >= ownerLease {
+		last = s.since
+	}
+	return last.Add(s.head.LeaseTail)
+}
+
 // readHead reads the head row and the strongest share; version 0 means that
 // there is no head yet.
 func readHead(ctx context.Context, store mothferry.RowStore) (sighting, error) {
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -117,7 +117,11 @@
 func (o *Owner) takeOver(ctx context.Context, seen sighting) {
 	c := &chain{store: o.Store, clock: o.Clock, version: seen.version, session: uint64(o.Clock.Now().UnixNano())}
 	began := o.Clock.Now()
-	err := c.write(ctx, mfrecord.Head{Holder: o.Daemon, Epoch: seen.head.Epoch + 1, Cores: o.Cores, Pending: seen.head.Pending}, nil)
+	err := c.write(ctx, mfrecord.Head{
+		Holder: o.Daemon, Epoch: seen.head.Epoch + 1, Cores: o.Cores,
+		// Until this owner has written anew its predecessor's leases count too.
+		LeaseTail: max(o.Limits.LeaseTail(), seen.head.LeaseTail), Pending: seen.head.Pending,
+	}, nil)
 	entry := o.Log.WithFields(log.Fields{"epoch": seen.head.Epoch + 1, "former": seen.head.Holder, "unchanged_ms": seen.read.Sub(seen.since).Milliseconds()})
 	if err != nil {
 		entry.WithError(err).Info("shard was not taken over")
@@ -126,7 +130,7 @@
 	entry.Info("shard is taken over")
 	o.owning.Store(true)
 	defer o.owning.Store(false)
-	err = o.run(ctx, c, began)
+	err = o.run(ctx, c, began, seen.floor(began))
 	var lost *errLost
 	switch {
 	case errors.As(err, &lost):
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -60,13 +60,13 @@
 }
 
 // run runs the shard until ctx ends or another host has it.
-func (o *Owner) run(ctx context.Context, c *chain, taken time.Time) error {
+func (o *Owner) run(ctx context.Context, c *chain, taken, floor time.Time) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	commits, cancelCommits := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelCommits()
 	s := &session{
-		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken),
+		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken, floor),
 		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), taken: taken, confirmed: taken,
 		duties:  duties{state: mfduty.New(), stored: map[mothferry.WaveID]string{}, told: map[mothferry.WaveID]bool{}},
 		written: make(chan error, 1),
@@ -305,7 +305,7 @@
 		}
 		rows = append(rows, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: value})
 	}
-	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.Cores, Pending: s.chain.head.Pending}
+	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.Cores, LeaseTail: s.owner.Limits.LeaseTail(), Pending: s.chain.head.Pending}
 	if pending, known := s.state.Pending(); known {
 		head.Pending = pending
 	}
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -14,6 +14,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -74,6 +75,9 @@
 	Epoch  mothferry.Epoch
 	// Cores is the holder's share of processors.
 	Cores mothferry.Millicores
+	// LeaseTail is how long after the commit that wrote the row workers' leases
+	// may still run that this owner asked for.
+	LeaseTail time.Duration
 	// Token names the commit that wrote the row.
 	Token mothferry.Token
 	// Pending counts the accepted jobs of each queue that have not begun.
@@ -87,6 +91,7 @@
 	Holder  mothferry.DaemonID          `json:"holder"`
 	Epoch   mothferry.Epoch             `json:"epoch"`
 	Cores   mothferry.Millicores        `json:"cores"`
+	TailMs  int64                       `json:"lease_tail_ms"`
 	Token   mothferry.Token             `json:"token"`
 	Pending map[mothferry.QueueID]int   `json:"pending,omitempty"`
 	WaitMs  map[mothferry.QueueID]int64 `json:"wait_ms,omitempty"`
@@ -100,7 +105,7 @@
 
 // Encode returns the stored form.
 func (h Head) Encode() ([]byte, error) {
-	data, err := json.Marshal(storedHead{headFormat, h.Holder, h.Epoch, h.Cores, h.Token, h.Pending, h.WaitMs})
+	data, err := json.Marshal(storedHead{headFormat, h.Holder, h.Epoch, h.Cores, h.LeaseTail.Milliseconds(), h.Token, h.Pending, h.WaitMs})
 	return data, trace.Wrap(err)
 }
 
@@ -113,5 +118,5 @@
 	if s.Format > headFormat {
 		return Head{}, &ErrNewerHead{s.Format}
 	}
-	return Head{s.Holder, s.Epoch, s.Cores, s.Token, s.Pending, s.WaitMs}, nil
+	return Head{s.Holder, s.Epoch, s.Cores, time.Duration(s.TailMs) * time.Millisecond, s.Token, s.Pending, s.WaitMs}, nil
 }
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -21,6 +21,14 @@
 	TailBadFor time.Duration
 }
 
+// LeaseTail is how long after an owner's last commit leases may still run that
+// it asked for: it extends them for ExtendFor, by Hold each time, and a
+// worker's clock may be slow.
+func (l Limits) LeaseTail() time.Duration {
+	hold := time.Duration(float64(l.Hold) * (1 + clockSlack))
+	return l.ExtendFor + hold + leaseMargin
+}
+
 // Figures of the scheduler's own.
 const (
 	// clockSlack is how much slower than ours a worker's clock may run.
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -128,8 +128,8 @@
 type State struct {
 	Limits Limits
 	Epoch  mothferry.Epoch
-	// Taken is when this owner took the shard over.
-	Taken time.Time
+	// Floor is when all leases have lapsed that an earlier owner asked for.
+	Floor time.Time
 
 	loaded  bool
 	queues  map[mothferry.QueueID]Queue
@@ -166,10 +166,11 @@
 	out []Command
 }
 
-// New returns a scheduler without jobs.
-func New(limits Limits, epoch mothferry.Epoch, taken time.Time) *State {
+// New returns a scheduler without jobs for an owner that took its shard over
+// at a time. Floor is when all leases of earlier owners have lapsed.
+func New(limits Limits, epoch mothferry.Epoch, taken, floor time.Time) *State {
 	return &State{
-		Limits: limits, Epoch: epoch, Taken: taken, lastCommit: taken,
+		Limits: limits, Epoch: epoch, Floor: floor, lastCommit: taken,
 		queues:  map[mothferry.QueueID]Queue{},
 		standby: map[mothferry.ServiceID]bool{},
 		jobs:    map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -74,7 +74,7 @@
 // not listed (yet).
 func (s *State) placeholder(id mothferry.WorkerID) *worker {
 	w := &worker{at: mothferry.WorkerAddress{Worker: id}, tasks: map[mothferry.TaskName]*task{}, stray: map[strayRun]time.Time{}}
-	w.floor = s.leaseFloor()
+	w.floor = s.Floor
 	s.workers[id] = w
 	at, _ := slices.BinarySearchFunc(s.roster, id, byID)
 	s.roster = slices.Insert(s.roster, at, w)
@@ -83,15 +83,6 @@
 
 func byID(w *worker, id mothferry.WorkerID) int { return cmp.Compare(w.at.Worker, id) }
 
-// leaseFloor is when every lease that an earlier owner may have extended has
-// lapsed. That owner extends leases for ExtendFor after its last commit, which
-// was before this owner's first; a worker gives at most HoldMax, by a clock
-// that may be slow.
-func (s *State) leaseFloor() time.Time {
-	hold := time.Duration(float64(s.Limits.HoldMax) * (1 + clockSlack))
-	return s.Taken.Add(s.Limits.ExtendFor + hold + leaseMargin)
-}
-
 func (s *State) listed(l Worker, now time.Time) {
 	w, ok := s.workers[l.At.Worker]
 	if !ok {
@@ -156,7 +147,7 @@
 // on it. Nor is the lease of a worker extended that did not answer last: the
 // look may arrive all the same, and the lease would never be known to lapse.
 func (s *State) leaseEnd(w *worker, now time.Time) mothferry.WorkerClock {
-	if w.read.IsZero() || w.failing || now.Sub(s.lastCommit) >= s.Limits.ExtendFor {
+	if w.read.IsZero() || w.failing || elapsed(s.lastCommit, now) >= s.Limits.ExtendFor {
 		return 0
 	}
 	// The clock may be fast as well as slow; the worker cuts what is too long.
@@ -165,6 +156,13 @@
 	return end
 }
 
+// elapsed returns the time since a moment, by the steady clock or the time of
+// day, whichever shows more. The steady clock stands still while a host is
+// suspended: an owner that wakes up would take its last commit as recent.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
 // heard takes in a reading of a worker's clock.
 func (w *worker) heard(clock mothferry.WorkerClock, now time.Time) {
 	if clock > 0 {
