--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -85,6 +85,14 @@
 			continue
 		}
 		p := pools[id]
+		if _, known := s.own[id]; !known {
+			p.Own++
+		}
+		if f.Loads[m.Worker].Failing {
+			// It is of no use for now: others take its place.
+			pools[id] = p
+			continue
+		}
 		p.Machines++
 		p.Cores = max(p.Cores, float64(m.Capacity.Cores)/1000)
 		p.Demand = f.Demands[id]
@@ -92,7 +100,7 @@
 	}
 	for id, p := range pools {
 		if _, known := s.own[id]; !known {
-			s.own[id] = p.Machines
+			s.own[id] = p.Own
 		}
 		p.Own = s.own[id]
 		pools[id] = p
@@ -115,17 +123,40 @@
 		switch {
 		case f.Standby[m.Pool]:
 			free = append(free, m)
-		case surplus[m.Pool] > 0 && f.Loads[m.Worker].Tasks == 0:
+		case surplus[m.Pool] > 0 && f.Loads[m.Worker].Tasks == 0 && !f.Loads[m.Worker].Failing:
 			surplus[m.Pool]--
 			free = append(free, m)
 		}
 	}
+	cut := cutOff(f)
 	slices.SortStableFunc(free, func(a, b mothferry.Machine) int {
-		return cmp.Or(rank(f.Standby[a.Pool])-rank(f.Standby[b.Pool]), cmp.Compare(a.Machine, b.Machine))
+		return cmp.Or(cmp.Compare(cut[a.DataCentre], cut[b.DataCentre]),
+			rank(f.Standby[a.Pool])-rank(f.Standby[b.Pool]), cmp.Compare(a.Machine, b.Machine))
 	})
 	return free
 }
 
+// cutOff tells of each data centre whether half of its workers do not
+// answer: it is cut off, and a machine of it that is moved would not be reached.
+func cutOff(f Fleet) map[mothferry.DataCentre]int {
+	all, out := map[mothferry.DataCentre]int{}, map[mothferry.DataCentre]int{}
+	for _, m := range f.Machines {
+		if l, known := f.Loads[m.Worker]; known {
+			all[m.DataCentre]++
+			if l.Failing {
+				out[m.DataCentre]++
+			}
+		}
+	}
+	cut := map[mothferry.DataCentre]int{}
+	for dc, n := range all {
+		if 2*out[dc] >= n {
+			cut[dc] = 1
+		}
+	}
+	return cut
+}
+
 func rank(standby bool) int {
 	if standby {
 		return 0
--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -10,9 +10,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
 
 	"mothferry"
 	"mothferry/mfclock"
@@ -35,7 +37,8 @@
 	Random mothferry.Random
 	Log    *log.Entry
 	Table  mothferry.TableID
-	Part   mothferry.PartID
+	// Parts are the parts of the table to read; none stands for the empty part.
+	Parts []mothferry.PartID
 	// Wait is how long the store may hold a call back for a change.
 	Wait time.Duration
 	// Every is the shortest time between two calls.
@@ -79,7 +82,7 @@
 }
 
 func (f *Follower) follow(ctx context.Context) error {
-	rows, version, err := ReadAll(ctx, f.Store, mothferry.RowRange{Table: f.Table, Part: f.Part})
+	rows, version, err := ReadParts(ctx, f.Store, f.Table, f.Parts)
 	if err != nil {
 		return err
 	}
@@ -132,6 +135,36 @@
 	}
 }
 
+// readAtOnce is how many parts are read at the same time.
+const readAtOnce = 8
+
+// ReadParts reads all rows of some parts of a table. The version is one from
+// which on no change is missed.
+func ReadParts(ctx context.Context, store mothferry.RowStore, table mothferry.TableID, parts []mothferry.PartID) ([]mothferry.Row, mothferry.Version, error) {
+	if len(parts) == 0 {
+		return ReadAll(ctx, store, mothferry.RowRange{Table: table})
+	}
+	var mutex sync.Mutex
+	var rows []mothferry.Row
+	var version mothferry.Version
+	var group errgroup.Group
+	group.SetLimit(readAtOnce)
+	for _, p := range parts {
+		group.Go(func() error {
+			some, at, err := ReadAll(ctx, store, mothferry.RowRange{Table: table, Part: p})
+			mutex.Lock()
+			defer mutex.Unlock()
+			rows = append(rows, some...)
+			if version == 0 || at < version {
+				version = at
+			}
+			return err
+		})
+	}
+	err := group.Wait()
+	return rows, version, err
+}
+
 // ReadAll reads all rows of a range, page by page, and returns the store's
 // version at the first page: changes from there on are not missed.
 func ReadAll(ctx context.Context, store mothferry.RowStore, q mothferry.RowRange) ([]mothferry.Row, mothferry.Version, error) {
--- a/mfintake/intake.go
+++ b/mfintake/intake.go
@@ -59,10 +59,10 @@
 		i.Log.WithError(err).WithField("job", id).Error("job can't be stored")
 		return OutcomeNotRun
 	}
-	key := mfrecord.JobKey(id)
+	key, part := mfrecord.JobKey(id), mfrecord.InboxPart(id)
 	_, err = i.Store.Commit(ctx, mothferry.Txn{
-		Checks: []mothferry.Check{{Table: mfrecord.TableInbox, Part: mfrecord.PartInbox, Key: key}},
-		Writes: []mothferry.Write{{Table: mfrecord.TableInbox, Part: mfrecord.PartInbox, Key: key, Value: value}},
+		Checks: []mothferry.Check{{Table: mfrecord.TableInbox, Part: part, Key: key}},
+		Writes: []mothferry.Write{{Table: mfrecord.TableInbox, Part: part, Key: key, Value: value}},
 	})
 	outcome := i.acceptOutcome(id, err)
 	i.entry(id, s.Queue, err).WithField("outcome", outcome).Info("job is handed in")
@@ -121,7 +121,7 @@
 	if i.isUnclear(id) {
 		return true, nil
 	}
-	_, found, err := i.row(ctx, mfrecord.TableInbox, mfrecord.PartInbox, mfrecord.JobKey(id))
+	_, found, err := i.row(ctx, mfrecord.TableInbox, mfrecord.InboxPart(id), mfrecord.JobKey(id))
 	return found, err
 }
 
@@ -150,7 +150,7 @@
 }
 
 func (i *Intake) exists(ctx context.Context, id mothferry.JobID) (bool, error) {
-	_, found, err := i.row(ctx, mfrecord.TableInbox, mfrecord.PartInbox, mfrecord.JobKey(id))
+	_, found, err := i.row(ctx, mfrecord.TableInbox, mfrecord.InboxPart(id), mfrecord.JobKey(id))
 	return found, err
 }
 
@@ -162,7 +162,7 @@
 	}
 	if err == nil {
 		_, err = i.Store.Commit(ctx, mothferry.Txn{Writes: []mothferry.Write{{
-			Table: mfrecord.TableInbox, Part: mfrecord.PartInbox, Key: mfrecord.CancelKey(id), Value: []byte("{}"),
+			Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.CancelKey(id), Value: []byte("{}"),
 		}}})
 	}
 	outcome := OutcomeDone
--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -91,15 +91,14 @@
 	}
 }
 
-// floor is when the leases that the former owner asked for have all lapsed. Its
-// last commit was sent before this host first saw the version that it wrote; a
-// head that still changed when the shard was claimed was written just before.
-func (s sighting) floor(claimed time.Time) time.Time {
-	last := claimed
+// lastCommit is when the former owner's last commit was there at the latest: it
+// was sent before this host first saw the version that it wrote. A head that
+// still changed when the shard was claimed was written just before the claim.
+func (s sighting) lastCommit(claimed time.Time) time.Time {
 	if s.read.Sub(s.since) >= ownerLease {
-		last = s.since
+		return s.since
 	}
-	return last.Add(s.head.LeaseTail)
+	return claimed
 }
 
 // readHead reads the head row and the strongest share; version 0 means that
--- a/mfowner/order.go
+++ b/mfowner/order.go
@@ -77,12 +77,12 @@
 	var inbox, progress []mothferry.Write
 	for _, id := range c.Jobs {
 		inbox = append(inbox,
-			mothferry.Write{Table: mfrecord.TableInbox, Part: mfrecord.PartInbox, Key: mfrecord.JobKey(id), Delete: true},
-			mothferry.Write{Table: mfrecord.TableInbox, Part: mfrecord.PartInbox, Key: mfrecord.CancelKey(id), Delete: true})
+			mothferry.Write{Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.JobKey(id), Delete: true},
+			mothferry.Write{Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.CancelKey(id), Delete: true})
 		progress = append(progress, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Delete: true})
 	}
 	for _, writes := range [][]mothferry.Write{inbox, progress} {
-		if _, err := s.owner.Store.Commit(s.ctx, mothferry.Txn{Writes: writes}); err != nil {
+		if _, err := s.owner.Store.Commit(s.ctx, mothferry.Txn{Writes: writes, Across: true}); err != nil {
 			s.owner.Log.WithError(err).WithField("jobs", len(c.Jobs)).Warn("jobs that were over long ago are left in the store")
 			return
 		}
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -130,7 +130,7 @@
 	entry.Info("shard is taken over")
 	o.owning.Store(true)
 	defer o.owning.Store(false)
-	err = o.run(ctx, c, began, seen.floor(began))
+	err = o.run(ctx, c, began, seen.lastCommit(began))
 	var lost *errLost
 	switch {
 	case errors.As(err, &lost):
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -39,9 +39,9 @@
 	// acts holds what other goroutines want done in the loop.
 	acts   chan func()
 	duties duties
-	// taken is when the shard was taken over, confirmed when the last commit
-	// that is stored was sent.
-	taken, confirmed time.Time
+	// former is when the former owner's last commit was there at the latest,
+	// confirmed when the last commit of this one that is stored was sent.
+	former, confirmed time.Time
 	// sent is when the commit under way was sent.
 	sent time.Time
 	// written brings the result of the commit under way.
@@ -60,14 +60,15 @@
 }
 
 // run runs the shard until ctx ends or another host has it.
-func (o *Owner) run(ctx context.Context, c *chain, taken, floor time.Time) error {
+func (o *Owner) run(ctx context.Context, c *chain, taken, former time.Time) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	commits, cancelCommits := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelCommits()
+	tail := c.head.LeaseTail
 	s := &session{
-		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken, floor),
-		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), taken: taken, confirmed: taken,
+		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken, former.Add(tail)),
+		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), former: former, confirmed: taken,
 		duties:  duties{state: mfduty.New(), stored: map[mothferry.WaveID]string{}, told: map[mothferry.WaveID]bool{}},
 		written: make(chan error, 1),
 		loaded:  make(chan struct{}), ctx: inner, commits: commits,
@@ -124,7 +125,7 @@
 func (s *session) followInbox() {
 	f := &mffeed.Follower{
 		Store: s.owner.Store, Clock: s.owner.Clock, Random: s.owner.Random, Log: s.owner.Log,
-		Table: mfrecord.TableInbox, Part: mfrecord.PartInbox, Wait: inboxWait, Every: inboxEvery, Apply: s.applyInbox,
+		Table: mfrecord.TableInbox, Parts: mfrecord.InboxParts(), Wait: inboxWait, Every: inboxEvery, Apply: s.applyInbox,
 	}
 	_ = f.Run(s.ctx)
 }
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -1,18 +1,20 @@
 // Package mfrecord is the layout of what lasts: which rows of the store hold
 // jobs, cancels, progress and the ownership of a shard.
 //
-//	inbox    part "inbox"  job/ID     what a caller handed in; written once
+//	inbox    part inbox-NN  job/ID     what a caller handed in; written once
 //	                       cancel/ID  a caller's cancel; written once
 //	progress part SHARD    ID         how far the job is; the owner's alone
 //	owner    part SHARD    head       who owns the shard; rewritten by each of
 //	                                  the owner's commits
 //
-// The inbox has a part of its own, so that entry hosts that accept jobs and
-// the owner that commits progress do not wait for each other.
+// The inbox has parts of its own, so that entry hosts that accept jobs and the
+// owner that commits progress do not wait for each other.
 package mfrecord
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"strings"
 	"time"
 
@@ -28,8 +30,28 @@
 	TableOwner    mothferry.TableID = "mothferry_owner"
 )
 
-// PartInbox is the part of all rows of the inbox.
-const PartInbox mothferry.PartID = "inbox"
+// inboxParts is how many parts the inbox has. A part does its transactions one
+// after another, so that a store that is 60 times slower does four a second in
+// each: with 64 parts that is still four times what a busy deployment of today
+// hands in, with one part it is a fifteenth. A successor reads them all.
+const inboxParts = 64
+
+// InboxPart is the part of a job's rows in the inbox. It depends on the id
+// alone: the same job handed in at two hosts must meet the same row.
+func InboxPart(id mothferry.JobID) mothferry.PartID {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return mothferry.PartID(fmt.Sprintf("inbox-%02d", h.Sum32()%inboxParts))
+}
+
+// InboxParts returns all parts of the inbox.
+func InboxParts() []mothferry.PartID {
+	var parts []mothferry.PartID
+	for i := range inboxParts {
+		parts = append(parts, mothferry.PartID(fmt.Sprintf("inbox-%02d", i)))
+	}
+	return parts
+}
 
 // PartShard is the part of the one shard that a small deployment has.
 const PartShard mothferry.PartID = "shard-0"
--- a/mfsched/load.go
+++ b/mfsched/load.go
@@ -12,6 +12,8 @@
 	// Tasks counts all tasks that are, or may be, there; Lasting those that last.
 	Tasks   int
 	Lasting int
+	// Failing says that the worker did not answer last.
+	Failing bool
 	// Used is the part of its cores that tasks have asked for, from 0 to 1.
 	Used float64
 }
@@ -25,7 +27,7 @@
 func (s *State) Loads() map[mothferry.WorkerID]Load {
 	loads := map[mothferry.WorkerID]Load{}
 	for id, w := range s.workers {
-		l := Load{Service: w.Service, Tasks: len(w.tasks)}
+		l := Load{Service: w.Service, Tasks: len(w.tasks), Failing: w.failing}
 		for _, t := range w.tasks {
 			if t.step.of.Lasting {
 				l.Lasting++
--- a/platform.go
+++ b/platform.go
@@ -49,6 +49,8 @@
 
 // Txn is one atomic change: all checks hold and all writes happen, or none.
 type Txn struct {
+	// Across says that its rows lie in several parts, which takes longer.
+	Across bool
 	Checks []Check
 	Writes []Write
 }
