Let waves wait for pools, and a restarted owner claim at once

What: waves begin nothing while pools are short, unless their time presses; a daemon that finds itself as holder claims at once and changes machines at once. Tests: TestWaveWaitsWhilePoolsAreShort, TestRestartedOwnerNeedNotWaitForItself.

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -80,6 +80,9 @@
 const (
 	// askAgain is the pause before a call without answer is repeated.
 	askAgain = 800 * time.Millisecond
+	// roundTakes is how long a wave's machines take from the choice until they
+	// are back: they run empty, are down for two seconds, and are listed again.
+	roundTakes = 5 * time.Second
 	// listedWithin is how soon after the answer to a call the list shows it; a
 	// machine that is still up by then was taken down earlier.
 	listedWithin = time.Second
@@ -142,10 +145,10 @@
 		listed[m.Machine] = m
 	}
 	plan := Plan{Over: s.settle(listed, now)}
+	short := s.planMoves(f, now)
 	for _, id := range s.waves() {
-		s.planWave(s.Waves[id], listed, f.Loads, now)
+		s.planWave(s.Waves[id], listed, f.Loads, short, now)
 	}
-	s.planMoves(f, now)
 	plan.Calls = s.due(f.Loads, now)
 	return plan
 }
@@ -201,7 +204,7 @@
 // Deadline is when all machines of the wave should have had their upkeep.
 func (w *Wave) Deadline() time.Time { return w.Begun.Add(w.Within) }
 
-func (s *State) planWave(w *Wave, listed map[mothferry.MachineID]mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) {
+func (s *State) planWave(w *Wave, listed map[mothferry.MachineID]mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, short bool, now time.Time) {
 	if w.Completed || len(w.Machines) == 0 {
 		return
 	}
@@ -229,6 +232,9 @@
 		w.Completed = true
 		return
 	}
+	if short && !w.pressed(open, now) {
+		return
+	}
 	slices.SortFunc(left, func(a, b mothferry.Machine) int {
 		return cmp.Or(loads[a.Worker].Compare(loads[b.Worker]), cmp.Compare(a.Machine, b.Machine))
 	})
@@ -244,6 +250,13 @@
 	}
 }
 
+// pressed reports whether a wave has no time to wait until pools have what
+// they need: so many machines are left, in rounds of AtOnce.
+func (w *Wave) pressed(open int, now time.Time) bool {
+	rounds := (open + w.AtOnce - 1) / w.AtOnce
+	return w.Deadline().Sub(now) < time.Duration(rounds+1)*roundTakes
+}
+
 // due returns the calls for machines that are empty, and those that have had
 // no answer.
 func (s *State) due(loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []Call {
--- a/mfduty/duty_test.go
+++ b/mfduty/duty_test.go
@@ -17,6 +17,9 @@
 	return mothferry.Machine{Machine: id, Worker: worker, Pool: "s", State: mothferry.MachineUp}
 }
 
+// off has the machines of these tests stand by, so that only waves act on them.
+var off = map[mothferry.ServiceID]bool{"s": true}
+
 func wave(atOnce int, machines ...mothferry.MachineID) mfsched.Wave {
 	return mfsched.Wave{Wave: 1, Machines: machines, Within: 20 * time.Second, AtOnce: atOnce}
 }
@@ -31,11 +34,11 @@
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1"), start)
 	machines := []mothferry.Machine{up("m-1", "w-2")}
-	plan := s.Plan(mfduty.Fleet{Machines: machines}, start)
+	plan := s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start)
 	assert.Equal(t, len(plan.Calls), 1)
 	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
 	for d := time.Duration(0); d < 3*time.Second; d += 300 * time.Millisecond {
-		plan = s.Plan(mfduty.Fleet{Machines: machines}, start.Add(d))
+		plan = s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(d))
 		assert.Equal(t, len(plan.Over), 0)
 		assert.Equal(t, len(plan.Calls), 0)
 	}
@@ -46,10 +49,10 @@
 func TestLifeIsOverOnceTheListShowsIt(t *testing.T) {
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1"), start)
-	plan := s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{up("m-1", "w-1")}}, start)
+	plan := s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{up("m-1", "w-1")}, Standby: off}, start)
 	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
 	down := mothferry.Machine{Machine: "m-1", Pool: "s", State: mothferry.MachineUpkeep}
-	plan = s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{down}}, start.Add(300*time.Millisecond))
+	plan = s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{down}, Standby: off}, start.Add(300*time.Millisecond))
 	assert.DeepEqual(t, plan.Over, []mothferry.WorkerID{"w-1"})
 }
 
@@ -59,11 +62,11 @@
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1", "m-2"), start)
 	machines := []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}
-	first := s.Plan(mfduty.Fleet{Machines: machines}, start).Calls
+	first := s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start).Calls
 	assert.Equal(t, len(first), 1)
 	s.Answered(first[0], mfduty.AnswerUnknown, start)
 	for d := 300 * time.Millisecond; d < 4*time.Second; d += 300 * time.Millisecond {
-		for _, c := range s.Plan(mfduty.Fleet{Machines: machines}, start.Add(d)).Calls {
+		for _, c := range s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(d)).Calls {
 			assert.Equal(t, c.Machine, first[0].Machine)
 		}
 	}
@@ -75,7 +78,22 @@
 	s.Ask(wave(1, "m-1"), start)
 	machines := []mothferry.Machine{up("m-1", "w-1")}
 	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 1, Lasting: 1}}
-	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines, Loads: loads}, start).Calls), 0)
+	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines, Loads: loads, Standby: off}, start).Calls), 0)
 	assert.Assert(t, s.Leaving()["w-1"])
-	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines}, start.Add(time.Second)).Calls), 1)
+	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(time.Second)).Calls), 1)
+}
+
+// Symptom: in the first seconds of a pool's turn half of its jobs were late.
+// Events: a wave begins in the same second and takes ten idle machines down
+// that the pool would have got, 24 s before its deadline.
+// Cause: waves did not regard what pools are short of.
+func TestWaveWaitsWhilePoolsAreShort(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1"), start)
+	f := mfduty.Fleet{
+		Machines: []mothferry.Machine{{Machine: "m-1", Worker: "w-1", Pool: "s", State: mothferry.MachineUp, Capacity: mothferry.Resources{Cores: 16000}}},
+		Demands:  map[mothferry.ServiceID]mfsched.Demand{"s": {Arriving: 100}},
+	}
+	assert.Equal(t, len(s.Plan(f, start).Calls), 0)
+	assert.Equal(t, len(s.Plan(f, start.Add(15*time.Second)).Calls), 1, "the deadline is near")
 }
--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -21,8 +21,8 @@
 
 // planMoves makes errands of machines that move: to pools that have too few,
 // from standby first and then from pools that have too many, and from those to
-// standby.
-func (s *State) planMoves(f Fleet, now time.Time) {
+// standby. It reports whether pools are short of machines.
+func (s *State) planMoves(f Fleet, now time.Time) bool {
 	pools := s.pools(f)
 	targets := s.sizes.Targets(pools, now)
 	free := s.freeMachines(f, pools, func(id mothferry.ServiceID) int { return targets[id].Keep })
@@ -30,15 +30,26 @@
 	free = s.supply(needy, pools, targets, free, now)
 	// Pools that are still short take what others only keep for a lull.
 	s.supply(needy, pools, targets, s.freeMachines(f, pools, func(id mothferry.ServiceID) int { return targets[id].Now }), now)
+	short := anyShort(pools, targets)
 	home, ok := standbyPool(f.Standby)
 	if !ok {
-		return
+		return short
 	}
 	for _, m := range free {
 		if _, gone := s.errands[m.Machine]; !gone && !f.Standby[m.Pool] {
 			s.send(m, home, now)
 		}
 	}
+	return short
+}
+
+func anyShort(pools map[mothferry.ServiceID]mfpool.Pool, targets map[mothferry.ServiceID]mfpool.Target) bool {
+	for id, p := range pools {
+		if p.Machines < targets[id].Now {
+			return true
+		}
+	}
+	return false
 }
 
 // supply sends free machines to the pools that miss some, and returns those
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -117,7 +117,7 @@
 // the shard yet. Both the steady clock and the time of day have to agree, as
 // the steady clock stands still while a host is suspended.
 func (s *session) mayChangeMachines(now time.Time) bool {
-	if now.Sub(s.former) < callWithin+s.owner.MachineHandOver+handOverMargin {
+	if !s.again && now.Sub(s.former) < callWithin+s.owner.MachineHandOver+handOverMargin {
 		return false
 	}
 	steady := now.Sub(s.confirmed)
--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -73,13 +73,16 @@
 // shard over. A weak host leaves it to the strong ones for a while; a strong
 // one takes it from a weak owner: an owner that is short of processor time
 // extends leases too late, and what runs is lost.
-func (s sighting) claimable(cores mothferry.Millicores) bool {
+func (s sighting) claimable(own mothferry.DaemonID, cores mothferry.Millicores) bool {
 	unchanged := s.read.Sub(s.since)
 	patience := time.Duration(0)
 	if float64(cores) < strongEnough*float64(s.strongest) {
 		patience = weakPatience
 	}
 	switch {
+	case s.head.Holder == own && s.version != 0:
+		// An earlier life of this very daemon: it is over, as this one runs.
+		return true
 	case s.version == 0:
 		return unchanged >= firstClaim+patience
 	case s.head.Holder == "":
--- a/mfowner/head_test.go
+++ b/mfowner/head_test.go
@@ -31,27 +31,27 @@
 // Cause: hosts claimed without regard to what they can do.
 func TestWeakHostsLeaveTheShardToStrongOnes(t *testing.T) {
 	gone := watched(owned(800), ownerLease)
-	assert.Assert(t, gone.claimable(800))
-	assert.Assert(t, !gone.claimable(192))
-	assert.Assert(t, watched(owned(800), ownerLease+weakPatience).claimable(192), "a weak owner is better than none")
+	assert.Assert(t, gone.claimable("h-2", 800))
+	assert.Assert(t, !gone.claimable("h-2", 192))
+	assert.Assert(t, watched(owned(800), ownerLease+weakPatience).claimable("h-2", 192), "a weak owner is better than none")
 	fresh := sighting{strongest: 800}
-	assert.Assert(t, watched(fresh, firstClaim).claimable(800))
-	assert.Assert(t, !watched(fresh, firstClaim).claimable(192))
+	assert.Assert(t, watched(fresh, firstClaim).claimable("h-2", 800))
+	assert.Assert(t, !watched(fresh, firstClaim).claimable("h-2", 192))
 }
 
 func TestStrongHostRelievesWeakOwner(t *testing.T) {
 	weak, strong := owned(192), owned(800)
-	assert.Assert(t, !watched(weak, time.Second).claimable(800))
+	assert.Assert(t, !watched(weak, time.Second).claimable("h-2", 800))
 	alive := sighting{}.observe(weak, start)
 	for at := time.Duration(0); at <= relieveAfter; at += 100 * time.Millisecond {
 		weak.version++
 		strong.version = weak.version
 		alive = alive.observe(weak, start.Add(at))
 	}
-	assert.Assert(t, alive.claimable(800))
-	assert.Assert(t, !alive.claimable(192))
+	assert.Assert(t, alive.claimable("h-2", 800))
+	assert.Assert(t, !alive.claimable("h-2", 192))
 	other := sighting{}.observe(strong, start).observe(strong, start.Add(time.Second))
-	assert.Assert(t, !other.claimable(800))
+	assert.Assert(t, !other.claimable("h-2", 800))
 }
 
 // An owner must not lose the shard because nobody could reach the store: when
@@ -59,5 +59,13 @@
 func TestOutageIsNoOwnersSilence(t *testing.T) {
 	seen := watched(owned(800), 500*time.Millisecond)
 	seen = seen.observe(owned(800), start.Add(20*time.Second))
-	assert.Assert(t, !seen.claimable(800))
+	assert.Assert(t, !seen.claimable("h-2", 800))
+}
+
+// Symptom: after all hosts had lost power nobody owned the shard for 2.7 s.
+// Cause: the former owner waited for its own earlier life's lease.
+func TestRestartedOwnerNeedNotWaitForItself(t *testing.T) {
+	seen := sighting{}.observe(owned(800), start)
+	assert.Assert(t, seen.claimable("h-1", 800))
+	assert.Assert(t, !seen.claimable("h-2", 800))
 }
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -105,7 +105,7 @@
 		}
 		return seen
 	}
-	if !seen.claimable(o.Cores) {
+	if !seen.claimable(o.Daemon, o.Cores) {
 		return seen
 	}
 	o.takeOver(ctx, seen)
@@ -130,7 +130,7 @@
 	entry.Info("shard is taken over")
 	o.owning.Store(true)
 	defer o.owning.Store(false)
-	err = o.run(ctx, c, began, seen.lastCommit(began))
+	err = o.run(ctx, c, began, seen)
 	var lost *errLost
 	switch {
 	case errors.As(err, &lost):
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -42,6 +42,8 @@
 	// former is when the former owner's last commit was there at the latest,
 	// confirmed when the last commit of this one that is stored was sent.
 	former, confirmed time.Time
+	// again says that the former owner was an earlier life of this daemon.
+	again bool
 	// sent is when the commit under way was sent.
 	sent time.Time
 	// written brings the result of the commit under way.
@@ -60,15 +62,16 @@
 }
 
 // run runs the shard until ctx ends or another host has it.
-func (o *Owner) run(ctx context.Context, c *chain, taken, former time.Time) error {
+func (o *Owner) run(ctx context.Context, c *chain, taken time.Time, seen sighting) error {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	commits, cancelCommits := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelCommits()
+	former := seen.lastCommit(taken)
 	tail := c.head.LeaseTail
 	s := &session{
 		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken, former.Add(tail)),
-		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), former: former, confirmed: taken,
+		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), former: former, again: seen.head.Holder == o.Daemon, confirmed: taken,
 		duties:  duties{state: mfduty.New(), stored: map[mothferry.WaveID]string{}, told: map[mothferry.WaveID]bool{}},
 		written: make(chan error, 1),
 		loaded:  make(chan struct{}), ctx: inner, commits: commits,
