--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -149,7 +149,7 @@
 	for _, id := range s.waves() {
 		s.planWave(s.Waves[id], listed, f.Loads, short, now)
 	}
-	plan.Calls = s.due(f.Loads, now)
+	plan.Calls = s.due(f, listed, now)
 	return plan
 }
 
@@ -259,11 +259,11 @@
 
 // due returns the calls for machines that are empty, and those that have had
 // no answer.
-func (s *State) due(loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []Call {
+func (s *State) due(f Fleet, listed map[mothferry.MachineID]mothferry.Machine, now time.Time) []Call {
 	var calls []Call
 	for _, e := range s.errands {
 		switch {
-		case e.phase == phaseEmptying && s.mayCall(e, loads[e.worker], now),
+		case e.phase == phaseEmptying && s.mayCall(e, f, listed[e.call.Machine], now),
 			e.phase == phaseAsked && now.Sub(e.asked) >= askAgain:
 			e.phase, e.asked = phaseAsked, now
 			calls = append(calls, e.call)
@@ -273,12 +273,17 @@
 	return calls
 }
 
-// mayCall reports whether a machine may be taken: it is empty, or the wave's
-// deadline is near and only short tasks run there, which start again elsewhere.
-func (s *State) mayCall(e *errand, load mfsched.Load, now time.Time) bool {
-	if load.Tasks == 0 {
+// mayCall reports whether a machine may be taken: it stands by, or is known to
+// be empty, or the wave's deadline is near and only short tasks run there, which
+// start again elsewhere. A new owner does not know at once what workers run.
+func (s *State) mayCall(e *errand, f Fleet, m mothferry.Machine, now time.Time) bool {
+	if f.Standby[m.Pool] || f.empty(e.worker) {
 		return true
 	}
+	load := f.Loads[e.worker]
+	if !load.Known {
+		return false
+	}
 	w, ok := s.Waves[e.call.Wave]
 	return ok && e.call.Kind == KindUpkeep && load.Lasting == 0 && w.Deadline().Sub(now) < hurryBefore
 }
--- a/mfduty/duty_test.go
+++ b/mfduty/duty_test.go
@@ -77,10 +77,11 @@
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1"), start)
 	machines := []mothferry.Machine{up("m-1", "w-1")}
-	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 1, Lasting: 1}}
-	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines, Loads: loads, Standby: off}, start).Calls), 0)
+	f := mfduty.Fleet{Machines: machines, Loads: map[mothferry.WorkerID]mfsched.Load{"w-1": {Known: true, Tasks: 1, Lasting: 1}}}
+	assert.Equal(t, len(s.Plan(f, start).Calls), 0)
 	assert.Assert(t, s.Leaving()["w-1"])
-	assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(time.Second)).Calls), 1)
+	f.Loads["w-1"] = mfsched.Load{Known: true}
+	assert.Equal(t, len(s.Plan(f, start.Add(time.Second)).Calls), 1)
 }
 
 // Symptom: in the first seconds of a pool's turn half of its jobs were late.
@@ -93,7 +94,23 @@
 	f := mfduty.Fleet{
 		Machines: []mothferry.Machine{{Machine: "m-1", Worker: "w-1", Pool: "s", State: mothferry.MachineUp, Capacity: mothferry.Resources{Cores: 16000}}},
 		Demands:  map[mothferry.ServiceID]mfsched.Demand{"s": {Arriving: 100}},
+		Loads:    map[mothferry.WorkerID]mfsched.Load{"w-1": {Known: true}},
 	}
 	assert.Equal(t, len(s.Plan(f, start).Calls), 0)
 	assert.Equal(t, len(s.Plan(f, start.Add(15*time.Second)).Calls), 1, "the deadline is near")
 }
+
+// Symptom: lasting tasks were ended by moves, more than their steps may miss.
+// Events: an owner is killed, starts again and claims at once; it lists machines
+// before it has read the jobs and looked at the workers.
+// Cause: a worker of which nothing was known yet counted as empty.
+func TestUnknownWorkersAreNotEmpty(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1"), start)
+	f := mfduty.Fleet{Machines: []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}, Standby: map[mothferry.ServiceID]bool{"off": true}}
+	for d := time.Duration(0); d < 19*time.Second; d += 300 * time.Millisecond {
+		assert.Equal(t, len(s.Plan(f, start.Add(d)).Calls), 0)
+	}
+	f.Loads = map[mothferry.WorkerID]mfsched.Load{"w-1": {Known: true}, "w-2": {Known: true}}
+	assert.Assert(t, len(s.Plan(f, start.Add(19*time.Second)).Calls) > 0)
+}
--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -19,6 +19,12 @@
 	Standby map[mothferry.ServiceID]bool
 }
 
+// empty reports whether a worker is known to run nothing.
+func (f Fleet) empty(worker mothferry.WorkerID) bool {
+	l := f.Loads[worker]
+	return l.Known && l.Tasks == 0 && !l.Failing
+}
+
 // planMoves makes errands of machines that move: to pools that have too few,
 // from standby first and then from pools that have too many, and from those to
 // standby. It reports whether pools are short of machines.
@@ -134,7 +140,7 @@
 		switch {
 		case f.Standby[m.Pool]:
 			free = append(free, m)
-		case surplus[m.Pool] > 0 && f.Loads[m.Worker].Tasks == 0 && !f.Loads[m.Worker].Failing:
+		case surplus[m.Pool] > 0 && f.empty(m.Worker):
 			surplus[m.Pool]--
 			free = append(free, m)
 		}
--- a/mfsched/load.go
+++ b/mfsched/load.go
@@ -9,6 +9,8 @@
 // Load is what one life of a worker runs.
 type Load struct {
 	Service mothferry.ServiceID
+	// Known says that the worker has told this owner what it runs.
+	Known bool
 	// Tasks counts all tasks that are, or may be, there; Lasting those that last.
 	Tasks   int
 	Lasting int
@@ -27,7 +29,7 @@
 func (s *State) Loads() map[mothferry.WorkerID]Load {
 	loads := map[mothferry.WorkerID]Load{}
 	for id, w := range s.workers {
-		l := Load{Service: w.Service, Tasks: len(w.tasks), Failing: w.failing}
+		l := Load{Service: w.Service, Known: w.sealed, Tasks: len(w.tasks), Failing: w.failing}
 		for _, t := range w.tasks {
 			if t.step.of.Lasting {
 				l.Lasting++
