--- a/mfcommand/fleet.go
+++ b/mfcommand/fleet.go
@@ -35,7 +35,9 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	logs := &mflog.Logs{Output: e.Out, Format: mflog.FormatJSON, Level: log.InfoLevel}
+	out := mflog.NewBounded(e.Out)
+	defer out.Close()
+	logs := &mflog.Logs{Output: out, Format: mflog.FormatJSON, Level: log.InfoLevel}
 	daemon, err := platform.NewDaemon(file, e.Clock, e.Random, logs)
 	if err != nil {
 		return err
--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -68,6 +68,7 @@
 	mutex   sync.Mutex
 	waves   map[mothferry.WaveID]mfsched.Wave
 	ended   *prometheus.HistogramVec
+	calls   *prometheus.HistogramVec
 }
 
 // Config returns the config in force, nil before the first one.
@@ -78,6 +79,15 @@
 	d.ended.WithLabelValues(kind, http.StatusText(status)).Observe(took.Seconds())
 }
 
+// Called counts a call to the platform or to a worker.
+func (d *Daemon) Called(operation string, took time.Duration, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	d.calls.WithLabelValues(operation, outcome).Observe(took.Seconds())
+}
+
 // Log returns the logger of a part.
 func (d *Daemon) Log(part string) *log.Entry {
 	return d.Logs.Part(part).WithField("daemon", d.Settings.Daemon)
@@ -123,14 +133,33 @@
 		Name: "mothferry_job_request_seconds", Help: "Time from a caller's request about a job to its answer, by kind and status.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
 	}, []string{"kind", "status"})
-	d.Registry.MustRegister(d.ended)
+	d.calls = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "mothferry_platform_call_seconds", Help: "Time of a call to the platform or to a worker, by operation and outcome.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 2, 11),
+	}, []string{"operation", "outcome"})
+	decisions := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "mothferry_decisions_total", Help: "Decisions of the shard's owner, by the message that the log has of them.",
+	}, []string{"decision"})
+	commits := prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "mothferry_commit_seconds", Help: "Time until a commit of the shard's owner is known to be stored.",
+		Buckets: prometheus.ExponentialBuckets(0.004, 2, 11),
+	})
+	owning := prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "mothferry_owning", Help: "1 while this daemon owns the shard."}, func() float64 {
+		if d.owner.Owning() {
+			return 1
+		}
+		return 0
+	})
+	d.Registry.MustRegister(d.ended, d.calls, decisions, commits, owning)
 	d.owner = &mfowner.Owner{
 		Daemon: d.Settings.Daemon, Store: d.Outside.Store, Workers: d.Outside.Workers, Adviser: d.Outside.Adviser,
 		Listing: d.Outside.Listing, Config: d.Config, Limits: d.Settings.Limits, Cores: d.Settings.Cores, Clock: d.Clock, Random: d.Random,
 		Machines: d.Outside.Machines, Waves: d.waveList, TellWave: d.Outside.TellWave,
+		Decided:         func(message string) { decisions.WithLabelValues(message).Inc() },
+		Committed:       func(took time.Duration) { commits.Observe(took.Seconds()) },
 		MachineHandOver: d.Settings.MachineHandOver, Log: d.Log("owner"),
 	}
-	d.Intake = &mfintake.Intake{Store: d.Outside.Store, Clock: d.Clock, Log: d.Log("intake"), Board: d.owner.Board}
+	d.Intake = &mfintake.Intake{Store: d.Outside.Store, Clock: d.Clock, Random: d.Random, Log: d.Log("intake"), Board: d.owner.Board}
 }
 
 // server starts an HTTP server at an address.
--- a/mfintake/admission.go
+++ b/mfintake/admission.go
@@ -4,27 +4,89 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"mothferry"
 	"mothferry/mfjob"
 	"mothferry/mfqueue"
 	"mothferry/mfrecord"
 )
 
-// Admission judges whether a job should be taken in now.
-type Admission interface {
-	// Refuse reports whether the job is turned away, and when it may come back.
-	Refuse(ctx context.Context, id mothferry.JobID, queue mfqueue.Queue, job mfjob.Submission) (time.Duration, bool)
-}
-
 // Pending returns how many accepted jobs of a queue have not begun, as the
 // shard's owner last told it.
 func (i *Intake) Pending(queue mothferry.QueueID) (int, bool) {
-	var board *mfrecord.Head
-	if i.Board != nil {
-		board = i.Board()
-	}
+	board := i.board()
 	if board == nil {
 		return 0, false
 	}
 	return board.Pending[queue], true
 }
+
+func (i *Intake) board() *mfrecord.Head {
+	if i.Board == nil {
+		return nil
+	}
+	return i.Board()
+}
+
+// Verdict is what Judge decides about a job that is handed in.
+type Verdict struct {
+	// Hopeless says that the job can't be of use any more when its turn comes.
+	Hopeless bool
+	// Again is when the job could be in time.
+	Again time.Duration
+}
+
+// lateFactor times its objective is when a job is of no use any more.
+const lateFactor = 3
+
+// Judge decides whether a job can still be of use if it is handed in now. Wait
+// is how long work of its service waits.
+//
+// The load it answers: a burst beyond all that pools can give. A job that is
+// taken in then only makes others later, and its caller waits for nothing. As
+// long as a job can be of use, late or in time, it is taken in: the estimate is
+// a fraction of a second old and knows no machine that is on its way, and a
+// refusal beside free workers is the worst answer.
+func Judge(wait, chain, aim time.Duration) Verdict {
+	if wait+chain <= lateFactor*aim {
+		return Verdict{}
+	}
+	return Verdict{Hopeless: true, Again: wait + chain - aim}
+}
+
+// boardFresh is how old the owner's word may be to refuse by it: a host reads it
+// about three times a second.
+const boardFresh = time.Second
+
+// Spread of the time to come back: callers that were refused together must not
+// return together.
+const (
+	spreadLeast = 0.8
+	spreadRange = 0.6
+)
+
+// Refuse reports whether a job is turned away, and when it may come back. A job
+// that was accepted before, or may have been, is never refused.
+func (i *Intake) Refuse(ctx context.Context, id mothferry.JobID, queue mfqueue.Queue, job mfjob.Submission) (time.Duration, bool) {
+	board := i.board()
+	now := i.Clock.Now()
+	if board == nil || now.Sub(board.Read) > boardFresh || job.Lasts() || job.Repeat > 0 {
+		return 0, false
+	}
+	chain := job.Chain()
+	aim := time.Duration(queue.Stretch*float64(chain)) + queue.Latency
+	v := Judge(board.Waits[queue.Service], chain, aim)
+	if !v.Hopeless {
+		return 0, false
+	}
+	if known, err := i.known(ctx, id); err != nil || known {
+		return 0, false
+	}
+	again := time.Duration(float64(v.Again) * (spreadLeast + spreadRange*i.Random.Float64()))
+	i.Log.WithFields(log.Fields{
+		"job": id, "queue": queue.ID, "wait_ms": board.Waits[queue.Service].Milliseconds(), "aim_ms": aim.Milliseconds(),
+		"chain_ms": chain.Milliseconds(), "owner": board.Holder, "wait_age_ms": now.Sub(board.Read).Milliseconds(), "epoch": board.Epoch, "again_ms": again.Milliseconds(), "outcome": OutcomeNotRun,
+	}).Info("job is refused, it would be of no use")
+	return again, true
+}
--- a/mfintake/intake.go
+++ b/mfintake/intake.go
@@ -41,9 +41,10 @@
 
 // Intake answers callers. The exported fields are set before use.
 type Intake struct {
-	Store mothferry.RowStore
-	Clock mothferry.Clock
-	Log   *log.Entry
+	Store  mothferry.RowStore
+	Clock  mothferry.Clock
+	Log    *log.Entry
+	Random mothferry.Random
 	// Board returns what the shard's owner last told, nil if it was never read.
 	Board func() *mfrecord.Head
 
@@ -115,9 +116,9 @@
 	return ok && i.Clock.Now().Sub(since) <= unclearFor
 }
 
-// Known reports whether a job's row is there, so that a job is not refused
-// that was accepted before.
-func (i *Intake) Known(ctx context.Context, id mothferry.JobID) (bool, error) {
+// known reports whether a job's row is there, or may be, so that a job is not
+// refused that was accepted before.
+func (i *Intake) known(ctx context.Context, id mothferry.JobID) (bool, error) {
 	if i.isUnclear(id) {
 		return true, nil
 	}
--- /dev/null
+++ b/mflog/bounded.go
@@ -0,0 +1,71 @@
+package mflog
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// Bounded passes lines on to a slower writer without ever making the caller
+// wait. Lines that come while its room is full are dropped and counted; the
+// count is written as a line of its own as soon as there is room.
+//
+// What it guards against: an output that does not take lines (a full pipe, a
+// collector that stands still) would otherwise stop whoever logs, and with it
+// leases, commits and callers.
+type Bounded struct {
+	Output io.Writer
+	lines  chan []byte
+	// Dropped counts lines that were not written.
+	Dropped atomic.Int64
+	done    chan struct{}
+}
+
+const (
+	// boundedLines is the room for lines that wait: some two seconds of the
+	// busiest owner, 1 MiB at the usual length.
+	boundedLines = 2048
+	// flushWithin bounds how long Close waits for the lines that are left.
+	flushWithin = 200 * time.Millisecond
+)
+
+// NewBounded returns a writer that passes lines on to output.
+func NewBounded(output io.Writer) *Bounded {
+	b := &Bounded{Output: output, lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	go b.pass()
+	return b
+}
+
+// Write implements io.Writer for whole lines.
+func (b *Bounded) Write(line []byte) (int, error) {
+	kept := append([]byte(nil), line...)
+	select {
+	case b.lines <- kept:
+	default:
+		b.Dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (b *Bounded) pass() {
+	defer close(b.done)
+	told := int64(0)
+	for line := range b.lines {
+		// A line that can't be written is lost: there is nowhere to say so.
+		_, _ = b.Output.Write(line)
+		if dropped := b.Dropped.Load(); dropped > told && len(b.lines) == 0 {
+			fmt.Fprintf(b.Output, "{\"level\":\"warn\",\"message\":\"log lines were dropped\",\"fields\":{\"part\":\"log\",\"dropped\":%d}}\n", dropped-told)
+			told = dropped
+		}
+	}
+}
+
+// Close writes what is left, for a short while.
+func (b *Bounded) Close() {
+	close(b.lines)
+	select {
+	case <-b.done:
+	case <-time.After(flushWithin):
+	}
+}
--- /dev/null
+++ b/mflog/bounded_test.go
@@ -0,0 +1,58 @@
+package mflog_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry/mflog"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mutex   sync.Mutex
+	text    strings.Builder
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.text.Write(p)
+}
+
+// Symptom guarded against: leases lapse because whoever logs waits for a log
+// collector that stands still.
+func TestLogNeverBlocks(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	b := mflog.NewBounded(out)
+	done := make(chan struct{})
+	const lines = 5000
+	go func() {
+		defer close(done)
+		for range lines {
+			_, _ = b.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("writing waits for the output")
+	}
+	assert.Assert(t, b.Dropped.Load() > 0)
+	close(out.release)
+	for range 100 {
+		out.mutex.Lock()
+		told := strings.Contains(out.text.String(), "log lines were dropped")
+		out.mutex.Unlock()
+		if told {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("dropped lines are not told")
+}
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -48,6 +48,10 @@
 	Clock  mothferry.Clock
 	Random mothferry.Random
 	Log    *log.Entry
+	// Decided is told of each decision that is logged, and Committed how long
+	// each commit took; both may be nil.
+	Decided   func(message string)
+	Committed func(took time.Duration)
 
 	board           atomic.Pointer[mfrecord.Head]
 	owning          atomic.Bool
@@ -97,6 +101,7 @@
 	if head.Holder != seen.head.Holder || head.Epoch != seen.head.Epoch {
 		o.Log.WithFields(log.Fields{"holder": head.Holder, "epoch": head.Epoch, "version": version}).Info("shard has another owner")
 	}
+	head.Read = o.Clock.Now()
 	o.board.Store(&head)
 	seen = seen.observe(next, o.Clock.Now())
 	if o.Cores > seen.strongest {
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -311,15 +311,27 @@
 	}
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.Cores, LeaseTail: s.owner.Limits.LeaseTail(), Pending: s.chain.head.Pending}
 	if pending, known := s.state.Pending(); known {
-		head.Pending = pending
+		head.Pending, head.Waits = pending, s.state.Waits(s.owner.Clock.Now())
 	}
-	s.owner.board.Store(&head)
+	board := head
+	board.Read = s.owner.Clock.Now()
+	s.owner.board.Store(&board)
 	rows = append(rows, s.waveRows()...)
 	s.inFlight, s.number, s.sent = true, c.Number, s.owner.Clock.Now()
-	go func() { s.written <- s.chain.write(s.commits, head, rows) }()
+	go func() {
+		began := s.owner.Clock.Now()
+		err := s.chain.write(s.commits, head, rows)
+		if s.owner.Committed != nil {
+			s.owner.Committed(s.owner.Clock.Now().Sub(began))
+		}
+		s.written <- err
+	}()
 }
 
 func (s *session) decided(d mfsched.Decision) {
+	if s.owner.Decided != nil {
+		s.owner.Decided(d.Message)
+	}
 	fields := log.Fields{"epoch": s.state.Epoch}
 	if d.Job != "" {
 		fields["job"] = d.Job
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -104,19 +104,21 @@
 	Token mothferry.Token
 	// Pending counts the accepted jobs of each queue that have not begun.
 	Pending map[mothferry.QueueID]int
-	// WaitMs is how long a new job of each queue would wait, in milliseconds.
-	WaitMs map[mothferry.QueueID]int64
+	// Waits is how long work that comes now would wait in each service.
+	Waits map[mothferry.ServiceID]time.Duration
+	// Read is when this host read the row; it is not stored.
+	Read time.Time
 }
 
 type storedHead struct {
-	Format  int                         `json:"format"`
-	Holder  mothferry.DaemonID          `json:"holder"`
-	Epoch   mothferry.Epoch             `json:"epoch"`
-	Cores   mothferry.Millicores        `json:"cores"`
-	TailMs  int64                       `json:"lease_tail_ms"`
-	Token   mothferry.Token             `json:"token"`
-	Pending map[mothferry.QueueID]int   `json:"pending,omitempty"`
-	WaitMs  map[mothferry.QueueID]int64 `json:"wait_ms,omitempty"`
+	Format  int                           `json:"format"`
+	Holder  mothferry.DaemonID            `json:"holder"`
+	Epoch   mothferry.Epoch               `json:"epoch"`
+	Cores   mothferry.Millicores          `json:"cores"`
+	TailMs  int64                         `json:"lease_tail_ms"`
+	Token   mothferry.Token               `json:"token"`
+	Pending map[mothferry.QueueID]int     `json:"pending,omitempty"`
+	WaitMs  map[mothferry.ServiceID]int64 `json:"wait_ms,omitempty"`
 }
 
 // ErrNewerHead reports a head row of a newer program.
@@ -127,7 +129,14 @@
 
 // Encode returns the stored form.
 func (h Head) Encode() ([]byte, error) {
-	data, err := json.Marshal(storedHead{headFormat, h.Holder, h.Epoch, h.Cores, h.LeaseTail.Milliseconds(), h.Token, h.Pending, h.WaitMs})
+	stored := storedHead{
+		Format: headFormat, Holder: h.Holder, Epoch: h.Epoch, Cores: h.Cores,
+		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Pending: h.Pending, WaitMs: map[mothferry.ServiceID]int64{},
+	}
+	for service, wait := range h.Waits {
+		stored.WaitMs[service] = wait.Milliseconds()
+	}
+	data, err := json.Marshal(stored)
 	return data, trace.Wrap(err)
 }
 
@@ -140,5 +149,12 @@
 	if s.Format > headFormat {
 		return Head{}, &ErrNewerHead{s.Format}
 	}
-	return Head{s.Holder, s.Epoch, s.Cores, time.Duration(s.TailMs) * time.Millisecond, s.Token, s.Pending, s.WaitMs}, nil
+	h := Head{
+		Holder: s.Holder, Epoch: s.Epoch, Cores: s.Cores, LeaseTail: time.Duration(s.TailMs) * time.Millisecond,
+		Token: s.Token, Pending: s.Pending, Waits: map[mothferry.ServiceID]time.Duration{},
+	}
+	for service, ms := range s.WaitMs {
+		h.Waits[service] = time.Duration(ms) * time.Millisecond
+	}
+	return h, nil
 }
--- /dev/null
+++ b/mfrecord/record_test.go
@@ -0,0 +1,35 @@
+package mfrecord_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfrecord"
+)
+
+func TestHeadIsStoredWhole(t *testing.T) {
+	want := mfrecord.Head{
+		Holder: "h-1", Epoch: 7, Cores: 400, LeaseTail: 8800 * time.Millisecond, Token: "h-1/1/2",
+		Pending: map[mothferry.QueueID]int{"q": 3}, Waits: map[mothferry.ServiceID]time.Duration{"s": time.Second},
+	}
+	data, err := want.Encode()
+	assert.NilError(t, err)
+	got, err := mfrecord.DecodeHead(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+	_, err = mfrecord.DecodeHead([]byte(`{"format":2}`))
+	assert.ErrorType(t, err, &mfrecord.ErrNewerHead{})
+}
+
+func TestInboxPartsAreKnown(t *testing.T) {
+	known := map[mothferry.PartID]bool{}
+	for _, p := range mfrecord.InboxParts() {
+		known[p] = true
+	}
+	for _, id := range []mothferry.JobID{"0000000000000000", "5c0e7a21d94b36f8", "ffffffffffffffff"} {
+		assert.Assert(t, known[mfrecord.InboxPart(id)])
+	}
+}
