Take lives as over that the machine list shows to be

Ruled out: that workers which are cut off look the same. Tests: TestCrashedMachinesLifeIsOver, TestListedLifeGoesOn, TestLifeThatNoMachineHasIsOver.

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -50,10 +50,8 @@
 	phase phase
 	// worker is the life that ends by it.
 	worker mothferry.WorkerID
-	// over says that the list has shown that.
-	over  bool
-	since time.Time
-	asked time.Time
+	since  time.Time
+	asked  time.Time
 }
 
 // Call is what the platform is asked for.
@@ -131,62 +129,37 @@
 	}
 }
 
-// Plan is what is due.
-type Plan struct {
-	Calls []Call
-	// Over holds the lives of workers that are over by what the list shows.
-	Over []mothferry.WorkerID
-}
-
 // Plan returns what is due.
-func (s *State) Plan(f Fleet, now time.Time) Plan {
+func (s *State) Plan(f Fleet, now time.Time) []Call {
 	listed := map[mothferry.MachineID]mothferry.Machine{}
 	for _, m := range f.Machines {
 		listed[m.Machine] = m
 	}
-	plan := Plan{Over: s.settle(listed, now)}
+	s.settle(listed, now)
 	short := s.planMoves(f, now)
 	for _, id := range s.waves() {
 		s.planWave(s.Waves[id], listed, f.Loads, short, now)
 	}
-	plan.Calls = s.due(f, listed, now)
-	return plan
+	return s.due(f, listed, now)
 }
 
-// settle ends the errands of machines that are back, or gone. It returns the
-// lives of workers that are over. Only the list tells that, not the answer to
-// a call: that one is the same where the machine was taken down before.
-func (s *State) settle(listed map[mothferry.MachineID]mothferry.Machine, now time.Time) []mothferry.WorkerID {
-	var over []mothferry.WorkerID
+// settle ends the errands of machines that are back, or gone.
+func (s *State) settle(listed map[mothferry.MachineID]mothferry.Machine, now time.Time) {
 	for id, e := range s.errands {
 		m, there := listed[id]
 		same := there && m.State == mothferry.MachineUp && m.Worker == e.worker
-		if there && !e.over && lifeIsOver(m, e.worker) {
-			e.over = true
-			over = append(over, e.worker)
-		}
 		switch {
 		case !there:
 			delete(s.errands, id)
 		case e.phase == phaseAway && m.State == mothferry.MachineUp && (!same || now.Sub(e.since) > listedWithin):
 			delete(s.errands, id)
-		case e.phase == phaseEmptying && (m.State != mothferry.MachineUp || m.Worker != e.worker):
+		case e.phase == phaseEmptying && !same:
 			// Its worker crashed, or somebody else acted on it: begin anew.
 			delete(s.errands, id)
 		case e.phase == phaseEmptying && now.Sub(e.since) > emptyFor:
 			delete(s.errands, id)
 		}
 	}
-	return over
-}
-
-// lifeIsOver reports whether the list shows that a life of a machine's worker
-// is over. A machine that is down, or not listed, may only be unreachable.
-func lifeIsOver(m mothferry.Machine, worker mothferry.WorkerID) bool {
-	if m.State == mothferry.MachineUp {
-		return m.Worker != "" && m.Worker != worker
-	}
-	return m.State == mothferry.MachineUpkeep || m.State == mothferry.MachineMoving
 }
 
 // waves returns the waves in the order of their deadlines.
@@ -298,7 +271,9 @@
 	AnswerUnknown Answer = "unknown"
 )
 
-// Answered takes in the answer to a call.
+// Answered takes in the answer to a call. That a call is answered as done does
+// not say that the life of a worker has ended by it: the machine may have been
+// taken down before. Only the list of machines tells that.
 func (s *State) Answered(c Call, answer Answer, now time.Time) {
 	e, ok := s.errands[c.Machine]
 	if !ok || e.call != c {
--- a/mfduty/duty_test.go
+++ b/mfduty/duty_test.go
@@ -34,39 +34,29 @@
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1"), start)
 	machines := []mothferry.Machine{up("m-1", "w-2")}
-	plan := s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start)
-	assert.Equal(t, len(plan.Calls), 1)
-	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
+	calls := s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start)
+	assert.Equal(t, len(calls), 1)
+	s.Answered(calls[0], mfduty.AnswerDone, start)
+	var lives mfduty.Lives
 	for d := time.Duration(0); d < 3*time.Second; d += 300 * time.Millisecond {
-		plan = s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(d))
-		assert.Equal(t, len(plan.Over), 0)
-		assert.Equal(t, len(plan.Calls), 0)
+		assert.Equal(t, len(s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(d))), 0)
+		assert.Equal(t, len(lives.Over(machines, map[mothferry.WorkerID]mfsched.Load{"w-2": {Tasks: 2}}, start.Add(d))), 0)
 	}
 	assert.Assert(t, s.Waves[1].Completed)
 	assert.Equal(t, len(s.Leaving()), 0)
 }
 
-func TestLifeIsOverOnceTheListShowsIt(t *testing.T) {
-	s := mfduty.New()
-	s.Ask(wave(1, "m-1"), start)
-	plan := s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{up("m-1", "w-1")}, Standby: off}, start)
-	s.Answered(plan.Calls[0], mfduty.AnswerDone, start)
-	down := mothferry.Machine{Machine: "m-1", Pool: "s", State: mothferry.MachineUpkeep}
-	plan = s.Plan(mfduty.Fleet{Machines: []mothferry.Machine{down}, Standby: off}, start.Add(300*time.Millisecond))
-	assert.DeepEqual(t, plan.Over, []mothferry.WorkerID{"w-1"})
-}
-
 // More machines than the wave allows must not be down, also while the answer
 // to a call is not known.
 func TestWaveKeepsToItsBound(t *testing.T) {
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1", "m-2"), start)
 	machines := []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}
-	first := s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start).Calls
+	first := s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start)
 	assert.Equal(t, len(first), 1)
 	s.Answered(first[0], mfduty.AnswerUnknown, start)
 	for d := 300 * time.Millisecond; d < 4*time.Second; d += 300 * time.Millisecond {
-		for _, c := range s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(d)).Calls {
+		for _, c := range s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, start.Add(d)) {
 			assert.Equal(t, c.Machine, first[0].Machine)
 		}
 	}
@@ -78,10 +68,10 @@
 	s.Ask(wave(1, "m-1"), start)
 	machines := []mothferry.Machine{up("m-1", "w-1")}
 	f := mfduty.Fleet{Machines: machines, Loads: map[mothferry.WorkerID]mfsched.Load{"w-1": {Known: true, Tasks: 1, Lasting: 1}}}
-	assert.Equal(t, len(s.Plan(f, start).Calls), 0)
+	assert.Equal(t, len(s.Plan(f, start)), 0)
 	assert.Assert(t, s.Leaving()["w-1"])
 	f.Loads["w-1"] = mfsched.Load{Known: true}
-	assert.Equal(t, len(s.Plan(f, start.Add(time.Second)).Calls), 1)
+	assert.Equal(t, len(s.Plan(f, start.Add(time.Second))), 1)
 }
 
 // Symptom: in the first seconds of a pool's turn half of its jobs were late.
@@ -96,8 +86,8 @@
 		Demands:  map[mothferry.ServiceID]mfsched.Demand{"s": {Arriving: 100}},
 		Loads:    map[mothferry.WorkerID]mfsched.Load{"w-1": {Known: true}},
 	}
-	assert.Equal(t, len(s.Plan(f, start).Calls), 0)
-	assert.Equal(t, len(s.Plan(f, start.Add(15*time.Second)).Calls), 1, "the deadline is near")
+	assert.Equal(t, len(s.Plan(f, start)), 0)
+	assert.Equal(t, len(s.Plan(f, start.Add(15*time.Second))), 1, "the deadline is near")
 }
 
 // Symptom: lasting tasks were ended by moves, more than their steps may miss.
@@ -109,8 +99,8 @@
 	s.Ask(wave(1, "m-1"), start)
 	f := mfduty.Fleet{Machines: []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}, Standby: map[mothferry.ServiceID]bool{"off": true}}
 	for d := time.Duration(0); d < 19*time.Second; d += 300 * time.Millisecond {
-		assert.Equal(t, len(s.Plan(f, start.Add(d)).Calls), 0)
+		assert.Equal(t, len(s.Plan(f, start.Add(d))), 0)
 	}
 	f.Loads = map[mothferry.WorkerID]mfsched.Load{"w-1": {Known: true}, "w-2": {Known: true}}
-	assert.Assert(t, len(s.Plan(f, start.Add(19*time.Second)).Calls) > 0)
+	assert.Assert(t, len(s.Plan(f, start.Add(19*time.Second))) > 0)
 }
--- /dev/null
+++ b/mfduty/life_test.go
@@ -0,0 +1,49 @@
+package mfduty_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfduty"
+	"mothferry/mfsched"
+)
+
+func down(id mothferry.MachineID) mothferry.Machine {
+	return mothferry.Machine{Machine: id, State: mothferry.MachineDown}
+}
+
+// Symptom: tasks of a rack that crashed started elsewhere only after five seconds.
+// Events: the rack's machines are listed as down, without a worker, at once.
+// Cause: only leases were waited for.
+func TestCrashedMachinesLifeIsOver(t *testing.T) {
+	var l mfduty.Lives
+	assert.Equal(t, len(l.Over([]mothferry.Machine{up("m-1", "w-1")}, nil, start)), 0)
+	assert.DeepEqual(t, l.Over([]mothferry.Machine{down("m-1")}, nil, start), []mothferry.WorkerID{"w-1"})
+	assert.Equal(t, len(l.Over([]mothferry.Machine{down("m-1")}, nil, start)), 0)
+	assert.Equal(t, len(l.Over([]mothferry.Machine{up("m-1", "w-2")}, nil, start)), 0)
+	assert.DeepEqual(t, l.Over([]mothferry.Machine{up("m-1", "w-3")}, nil, start), []mothferry.WorkerID{"w-2"})
+}
+
+// A worker that is cut off, or whose machine shows no id for a moment, goes on.
+func TestListedLifeGoesOn(t *testing.T) {
+	var l mfduty.Lives
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 1, Failing: true}}
+	for d := time.Duration(0); d < 5*time.Second; d += 200 * time.Millisecond {
+		assert.Equal(t, len(l.Over([]mothferry.Machine{up("m-1", "w-1")}, loads, start.Add(d))), 0)
+	}
+	assert.Equal(t, len(l.Over([]mothferry.Machine{up("m-1", "")}, nil, start)), 0)
+}
+
+// Symptom: tasks of a worker that had crashed before a takeover waited until all
+// leases of the former owner had lapsed.
+func TestLifeThatNoMachineHasIsOver(t *testing.T) {
+	var l mfduty.Lives
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 2}, "w-idle": {}}
+	machines := []mothferry.Machine{up("m-1", "w-2")}
+	assert.Equal(t, len(l.Over(machines, loads, start)), 0)
+	assert.Equal(t, len(l.Over(machines, loads, start.Add(500*time.Millisecond))), 0)
+	assert.DeepEqual(t, l.Over(machines, loads, start.Add(time.Second)), []mothferry.WorkerID{"w-1"})
+}
--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -77,7 +77,7 @@
 		return
 	}
 	w.end(m)
-	m.state = mothferry.MachineDown
+	m.state, m.life = mothferry.MachineDown, ""
 	w.after(down, func() { w.live(m) })
 }
 
@@ -110,12 +110,12 @@
 		for _, m := range w.machines {
 			machines = append(machines, mothferry.Machine{Machine: m.id, Pool: m.pool, State: m.state, Capacity: m.has, Worker: m.life})
 		}
-		plan := o.duty.Plan(mfduty.Fleet{Machines: machines, Loads: o.state.Loads(), Demands: o.state.Demands(w.now), Standby: w.Standby}, w.now)
-		for _, id := range plan.Over {
+		for _, id := range o.lives.Over(machines, o.state.Loads(), w.now) {
 			o.step(mfsched.WorkerOver{Worker: id})
 		}
+		calls := o.duty.Plan(mfduty.Fleet{Machines: machines, Loads: o.state.Loads(), Demands: o.state.Demands(w.now), Standby: w.Standby}, w.now)
 		o.step(mfsched.WorkersLeaving{Workers: o.duty.Leaving()})
-		for _, c := range plan.Calls {
+		for _, c := range calls {
 			answer := w.moveMachine(c)
 			o.duty.Answered(c, answer, w.now)
 			if w.Watch != nil {
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -17,6 +17,7 @@
 	world *World
 	state *mfsched.State
 	duty  *mfduty.State
+	lives mfduty.Lives
 	epoch mothferry.Epoch
 	// dead owners do nothing more; frozen ones keep what reaches them for later.
 	dead   bool
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -31,9 +31,12 @@
 // duties is what a session does with machines.
 type duties struct {
 	state   *mfduty.State
+	lives   mfduty.Lives
 	listing bool
 	standby map[mothferry.ServiceID]bool
-	next    time.Time
+	// seen holds the machines as they were listed last.
+	seen map[mothferry.MachineID]mothferry.Machine
+	next time.Time
 	// stored is what the store holds of each wave.
 	stored map[mothferry.WaveID]string
 	// told is what the operator was told of each wave.
@@ -150,21 +153,40 @@
 	}
 	s.owner.machinesEpisode.Succeeded("machines can be listed again")
 	now := s.owner.Clock.Now()
+	s.noteMachines(machines)
+	for _, id := range s.duties.lives.Over(machines, s.state.Loads(), now) {
+		s.step(mfsched.WorkerOver{Worker: id})
+	}
 	if !s.mayChangeMachines(now) {
 		return
 	}
-	plan := s.duties.state.Plan(mfduty.Fleet{
+	calls := s.duties.state.Plan(mfduty.Fleet{
 		Machines: machines, Loads: s.state.Loads(), Demands: s.state.Demands(now), Standby: s.duties.standby,
 	}, now)
-	for _, id := range plan.Over {
-		s.step(mfsched.WorkerOver{Worker: id})
-	}
 	s.step(mfsched.WorkersLeaving{Workers: s.duties.state.Leaving()})
-	for _, c := range plan.Calls {
+	for _, c := range calls {
 		go s.callMachine(c)
 	}
 }
 
+// noteMachines logs machines whose state has changed.
+func (s *session) noteMachines(machines []mothferry.Machine) {
+	seen := map[mothferry.MachineID]mothferry.Machine{}
+	for _, m := range machines {
+		seen[m.Machine] = m
+		old, known := s.duties.seen[m.Machine]
+		if s.duties.seen != nil && (!known || old.State != m.State || old.Worker != m.Worker) {
+			s.owner.Log.WithFields(log.Fields{"machine": m.Machine, "pool": m.Pool, "state": m.State, "worker": m.Worker, "former_state": old.State, "former_worker": old.Worker}).Info("machine has changed")
+		}
+	}
+	for id := range s.duties.seen {
+		if _, there := seen[id]; !there {
+			s.owner.Log.WithField("machine", id).Info("machine is no longer listed")
+		}
+	}
+	s.duties.seen = seen
+}
+
 func (s *session) callMachine(c mfduty.Call) {
 	fence := mothferry.MachineFence{Holder: s.owner.Daemon, Epoch: s.state.Epoch}
 	var err error
