--- /dev/null
+++ b/mfintake/intake_test.go
@@ -0,0 +1,73 @@
+package mfintake_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mfintake"
+	"mothferry/mfjob"
+	"mothferry/mflog"
+	"mothferry/mfstandin"
+)
+
+const id mothferry.JobID = "5c0e7a21d94b36f8"
+
+func newIntake(rows *mfstandin.Rows) *mfintake.Intake {
+	return &mfintake.Intake{Store: rows, Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Log: mflog.Discard()}
+}
+
+func submission() mfjob.Submission {
+	return mfjob.Submission{Queue: "q", Service: "s", Steps: []mfjob.Step{{Count: 1}}}
+}
+
+func fault(f mfstandin.CommitFault) func(mothferry.Txn) mfstandin.CommitFault {
+	return func(mothferry.Txn) mfstandin.CommitFault { return f }
+}
+
+// A job handed in twice, at two hosts, remains one job; its state can be asked
+// for at either.
+func TestAcceptIsIdempotent(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	ctx := context.Background()
+	for _, i := range []*mfintake.Intake{newIntake(rows), newIntake(rows)} {
+		assert.Equal(t, i.Accept(ctx, id, submission()), mfintake.OutcomeDone)
+		state, outcome := i.State(ctx, id)
+		assert.Equal(t, outcome, mfintake.OutcomeDone)
+		assert.Equal(t, state, mfjob.StateQueued)
+	}
+	_, outcome := newIntake(rows).State(ctx, "0000000000000000")
+	assert.Equal(t, outcome, mfintake.OutcomeNoJob)
+}
+
+// Symptom guarded against: a caller is told that its job never runs, and it runs.
+// Events: the answer to the write is lost, the caller asks again, and the store
+// declines; the first write is carried out later.
+func TestRefusalIsTrue(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	i := newIntake(rows)
+	ctx := context.Background()
+	rows.Before = fault(mfstandin.CommitDeclined)
+	assert.Equal(t, i.Accept(ctx, "0000000000000001", submission()), mfintake.OutcomeNotRun)
+	rows.Before = fault(mfstandin.CommitLate)
+	assert.Equal(t, i.Accept(ctx, id, submission()), mfintake.OutcomeUnknown)
+	rows.Before = fault(mfstandin.CommitDeclined)
+	assert.Equal(t, i.Accept(ctx, id, submission()), mfintake.OutcomeUnknown, "the first write may still be made")
+	rows.Before = nil
+	rows.Settle()
+	state, outcome := i.State(ctx, id)
+	assert.Equal(t, outcome, mfintake.OutcomeDone)
+	assert.Equal(t, state, mfjob.StateQueued)
+}
+
+func TestCancelOfUnknownJob(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	i := newIntake(rows)
+	ctx := context.Background()
+	assert.Equal(t, i.Cancel(ctx, id), mfintake.OutcomeNoJob)
+	assert.Equal(t, i.Accept(ctx, id, submission()), mfintake.OutcomeDone)
+	assert.Equal(t, i.Cancel(ctx, id), mfintake.OutcomeDone)
+}
--- /dev/null
+++ b/mfowner/chain_test.go
@@ -0,0 +1,87 @@
+package mfowner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mothferry"
+	"mothferry/mfrecord"
+	"mothferry/mfstandin"
+)
+
+// quick is a clock whose waits end at once.
+type quick struct{}
+
+func (quick) Now() time.Time { return start }
+
+func (quick) After(time.Duration) <-chan time.Time {
+	c := make(chan time.Time, 1)
+	c <- start
+	return c
+}
+
+func progressRow(value byte) []mothferry.Write {
+	return []mothferry.Write{{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: "j", Value: []byte{value}}}
+}
+
+func stored(t require, rows *mfstandin.Rows) byte {
+	page, err := rows.Range(context.Background(), mothferry.RowRange{Table: mfrecord.TableProgress, Part: mfrecord.PartShard})
+	assert.NilError(t, err)
+	if len(page.Rows) == 0 {
+		return 0
+	}
+	return page.Rows[0].Value[0]
+}
+
+// require is what both testing.T and rapid.T offer.
+type require interface {
+	assert.TestingT
+}
+
+// Symptom guarded against: progress goes back after a commit whose answer was
+// lost, since the store carries it out seconds later.
+// Events: commits are declined, unanswered, lost or late, in any order.
+// What holds: each commit that the chain reports as stored is stored, no older
+// one undoes it, and the next one finds the head that it expects.
+func TestCommitsFollowOneAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(int(mfstandin.CommitWell), int(mfstandin.CommitLate)), 0, 12).Draw(t, "faults")
+		rows := &mfstandin.Rows{Before: func(mothferry.Txn) mfstandin.CommitFault {
+			if len(faults) == 0 {
+				return mfstandin.CommitWell
+			}
+			f := mfstandin.CommitFault(faults[0])
+			faults = faults[1:]
+			return f
+		}}
+		c := &chain{store: rows, clock: quick{}}
+		for i := byte(1); i <= 6; i++ {
+			assert.NilError(t, c.write(context.Background(), mfrecord.Head{Holder: "h-1", Epoch: 1}, progressRow(i)))
+			assert.Equal(t, stored(t, rows), i)
+			if rapid.Bool().Draw(t, "settle") {
+				rows.Settle()
+				assert.Equal(t, stored(t, rows), i)
+			}
+		}
+	})
+}
+
+// Symptom guarded against: a former owner that was frozen or cut off changes
+// progress after its successor has taken over.
+func TestFormerOwnerCanChangeNothing(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	old := &chain{store: rows, clock: quick{}, session: 1}
+	assert.NilError(t, old.write(context.Background(), mfrecord.Head{Holder: "h-1", Epoch: 1}, progressRow(1)))
+	next := &chain{store: rows, clock: quick{}, version: old.version, session: 2}
+	assert.NilError(t, next.write(context.Background(), mfrecord.Head{Holder: "h-2", Epoch: 2}, progressRow(2)))
+	err := old.write(context.Background(), mfrecord.Head{Holder: "h-1", Epoch: 1}, progressRow(3))
+	var lost *errLost
+	assert.Assert(t, errors.As(err, &lost), "%v", err)
+	assert.Equal(t, lost.holder, mothferry.DaemonID("h-2"))
+	assert.Equal(t, stored(t, rows), byte(2))
+}
