--- a/cmd/mothferry/main.go
+++ b/cmd/mothferry/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	os.Exit(mfcommand.Main(context.Background(), &mfcommand.Environment{
-		Out: os.Stdout, Err: os.Stderr, Clock: mfclock.System{}, Random: mfclock.SystemRandom{},
+		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Clock: mfclock.System{}, Random: mfclock.SystemRandom{},
 		Getenv: os.Getenv, Version: version,
 	}))
 }
--- a/mfcommand/command.go
+++ b/mfcommand/command.go
@@ -37,6 +37,7 @@
 
 // Environment is what a command line runs in.
 type Environment struct {
+	In      io.Reader
 	Out     io.Writer
 	Err     io.Writer
 	Clock   mothferry.Clock
@@ -70,6 +71,8 @@
 	return []command{
 		serveCommand(),
 		fleetCommand(),
+		playCommand(),
+		explainCommand(),
 		checkCommand(),
 		applyCommand(),
 		getCommand(),
--- /dev/null
+++ b/mfcommand/play.go
@@ -0,0 +1,88 @@
+package mfcommand
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"mothferry/mfemulate"
+	"mothferry/mfsched"
+)
+
+// playLimits are those of the users' deployments of today.
+func playLimits() mfsched.Limits {
+	return mfsched.Limits{
+		Hold: 4500 * time.Millisecond, HoldMax: 6 * time.Second, ExtendFor: 4 * time.Second,
+		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second,
+		AtWorkWithin: 4500 * time.Millisecond, TailBadFor: 4 * time.Second,
+	}
+}
+
+func playCommand() command {
+	return command{
+		name: "play", arguments: "FILE", help: "Play a load file against the emulator and print what came of it.",
+		details: "The real decisions run against a model of store, workers and machines in simulated time,\nso that a change of policy is measured in seconds. mfexample/loads holds an example.",
+		prepare: func(e *Environment, flags *flag.FlagSet) runFunc {
+			seed := flags.Uint64("seed", 1, "seed of the first play")
+			plays := flags.Int("plays", 1, "how many plays, each with the next seed")
+			fixed := flags.Bool("fixed-pools", false, "let no machine move between pools")
+			output := outputFlag(flags)
+			return func(_ context.Context, files []string) error {
+				if len(files) != 1 || *plays < 1 {
+					return &errUsage{"give one load file, and one play or more"}
+				}
+				if err := checkOutput(*output); err != nil {
+					return err
+				}
+				load, err := mfemulate.ReadLoad(files[0])
+				if err != nil {
+					return err
+				}
+				for k := range *plays {
+					s := *seed + uint64(k)
+					if err := printPlay(e, *output, s, mfemulate.Play(load, playLimits(), s, !*fixed)); err != nil {
+						return err
+					}
+				}
+				return nil
+			}
+		},
+	}
+}
+
+// playFigures is one play in the command's JSON.
+type playFigures struct {
+	Seed           uint64  `json:"seed"`
+	Jobs           int     `json:"jobs"`
+	InTime         int     `json:"in_time"`
+	Late           int     `json:"late"`
+	TooLate        int     `json:"too_late"`
+	Failed         int     `json:"failed"`
+	Worth          float64 `json:"worth_in_time"`
+	Wide           float64 `json:"widest_tenth_in_time"`
+	MachineSeconds float64 `json:"machine_seconds"`
+	Moves          int     `json:"moves"`
+	Starts         int     `json:"starts"`
+	Stops          int     `json:"stops"`
+	Looks          int     `json:"looks"`
+	Commits        int     `json:"commits"`
+}
+
+func printPlay(e *Environment, output string, seed uint64, f mfemulate.Figures) error {
+	p := playFigures{
+		Seed: seed, Jobs: f.Jobs, InTime: f.InTime, Late: f.Late, TooLate: f.TooLate, Failed: f.Failed, Worth: f.Worth, Wide: f.Wide,
+		MachineSeconds: f.MachineSeconds, Moves: f.Moves, Starts: f.Starts, Stops: f.Stops, Looks: f.Looks, Commits: f.Commits,
+	}
+	if output == outputJSON {
+		return trace.Wrap(json.NewEncoder(e.Out).Encode(p))
+	}
+	_, err := fmt.Fprintf(e.Out, "seed %d: %d jobs, %d in time, %d late, %d too late, %d failed\n"+
+		"  worth in time %.3f, of the widest tenth %.3f\n"+
+		"  %.0f machine-seconds in pools, %d moves; %d starts, %d stops, %d looks, %d commits\n",
+		p.Seed, p.Jobs, p.InTime, p.Late, p.TooLate, p.Failed, p.Worth, p.Wide, p.MachineSeconds, p.Moves, p.Starts, p.Stops, p.Looks, p.Commits)
+	return trace.Wrap(err)
+}
