--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -154,6 +154,7 @@
 	s.owner.machinesEpisode.Succeeded("machines can be listed again")
 	now := s.owner.Clock.Now()
 	s.noteMachines(machines)
+	s.step(mfsched.FleetSized{Cores: coresOf(machines)})
 	for _, id := range s.duties.lives.Over(machines, s.state.Loads(), now) {
 		s.step(mfsched.WorkerOver{Worker: id})
 	}
@@ -169,6 +170,17 @@
 	}
 }
 
+// coresOf returns the cores of all machines that are not down.
+func coresOf(machines []mothferry.Machine) float64 {
+	cores := 0.0
+	for _, m := range machines {
+		if m.State != mothferry.MachineDown {
+			cores += float64(m.Capacity.Cores) / 1000
+		}
+	}
+	return cores
+}
+
 // noteMachines logs machines whose state has changed.
 func (s *session) noteMachines(machines []mothferry.Machine) {
 	seen := map[mothferry.MachineID]mothferry.Machine{}
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -139,6 +139,12 @@
 	Workers map[mothferry.WorkerID]bool
 }
 
+// FleetSized tells how many cores all machines have that are not down, those on
+// standby and on their way included.
+type FleetSized struct {
+	Cores float64
+}
+
 // WorkerOver says that a life of a worker is known to have ended.
 type WorkerOver struct {
 	Worker mothferry.WorkerID
@@ -160,6 +166,7 @@
 func (CommitDone) event()     {}
 func (AdviceAnswered) event() {}
 func (WorkersLeaving) event() {}
+func (FleetSized) event()     {}
 func (WorkerOver) event()     {}
 func (Tick) event()           {}
 
--- a/mfsched/harness_test.go
+++ b/mfsched/harness_test.go
@@ -115,6 +115,8 @@
 	s.step(mfsched.JobFound{Job: id, Submission: submission(s.now, count)})
 }
 
+func jobID(text string) mothferry.JobID { return mothferry.JobID(text) }
+
 func submission(at time.Time, count int) mfjob.Submission {
 	return mfjob.Submission{
 		Queue: queue, Service: service, Spec: "spec", Accepted: at,
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -142,6 +142,8 @@
 	// events always bring the same commands in the same order.
 	roster  []*worker
 	leaving map[mothferry.WorkerID]bool
+	// fleetCores is what all machines have, as they were listed last.
+	fleetCores float64
 	// arrivals holds how much work came lately for each service.
 	arrivals map[mothferry.ServiceID]*arrivals
 
@@ -199,6 +201,8 @@
 		s.unlisted(v.Worker)
 	case WorkerOver:
 		s.over(v.Worker, now)
+	case FleetSized:
+		s.fleetCores = v.Cores
 	case WorkersLeaving:
 		s.leaving = v.Workers
 	case LookAnswered:
--- a/mfsched/wait.go
+++ b/mfsched/wait.go
@@ -6,10 +6,10 @@
 	"mothferry"
 )
 
-// reachShare is the part of all listed workers' cores that a pool can have once
-// machines have moved to it. An estimate by the cores that it has at the moment
-// turns away what machines on their way would serve: after a restart, or as a
-// turn begins, a tenth of the jobs were refused beside free workers.
+// reachShare is the part of all machines' cores that a pool can have once
+// machines have moved to it. An estimate by the workers that are there at the
+// moment turns away what machines on standby or on their way would serve: after
+// a restart, or as a turn begins, a tenth of the jobs were refused.
 const reachShare = 0.5
 
 // Waits returns how long work that comes now would wait at least in each
@@ -17,11 +17,9 @@
 // pool has or can get.
 func (s *State) Waits(now time.Time) map[mothferry.ServiceID]time.Duration {
 	cores := map[mothferry.ServiceID]float64{}
-	all := 0.0
 	for _, w := range s.roster {
 		if w.listed && !w.Draining {
 			cores[w.Service] += float64(w.Capacity.Cores) / 1000
-			all += float64(w.Capacity.Cores) / 1000
 		}
 	}
 	work := map[mothferry.ServiceID]float64{}
@@ -31,7 +29,7 @@
 	}
 	waits := map[mothferry.ServiceID]time.Duration{}
 	for service, amount := range work {
-		reach := max(cores[service], reachShare*all)
+		reach := max(cores[service], reachShare*s.fleetCores)
 		if reach > 0 && amount > 0 {
 			waits[service] = time.Duration(amount / reach * float64(time.Second))
 		}
