Keep a reserve by equal shares of the fleet, not by what an owner first saw

The new owner saw the pool of the turn with 24 machines first and kept half of them from then on. Test: TestTakeoverInATurnKeepsNoPeak.

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -97,13 +97,11 @@
 	Waves   map[mothferry.WaveID]*Wave
 	errands map[mothferry.MachineID]*errand
 	sizes   mfpool.Sizes
-	// own is how many machines each pool had when it was first seen.
-	own map[mothferry.ServiceID]int
 }
 
 // New returns a state with nothing under way.
 func New() *State {
-	return &State{Waves: map[mothferry.WaveID]*Wave{}, errands: map[mothferry.MachineID]*errand{}, own: map[mothferry.ServiceID]int{}}
+	return &State{Waves: map[mothferry.WaveID]*Wave{}, errands: map[mothferry.MachineID]*errand{}}
 }
 
 // Ask takes in a wave that the operator asks for. One that is known keeps what
--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -93,7 +93,14 @@
 // pools counts machines by the pool that they are in or on their way to.
 func (s *State) pools(f Fleet) map[mothferry.ServiceID]mfpool.Pool {
 	pools := map[mothferry.ServiceID]mfpool.Pool{}
+	for id := range f.Demands {
+		if !f.Standby[id] {
+			pools[id] = mfpool.Pool{}
+		}
+	}
+	cores := 0.0
 	for _, m := range f.Machines {
+		cores = max(cores, float64(m.Capacity.Cores)/1000)
 		id := m.Pool
 		if e, ok := s.errands[m.Machine]; ok && e.call.Kind == KindMove {
 			id = e.call.Pool
@@ -102,24 +109,15 @@
 			continue
 		}
 		p := pools[id]
-		if _, known := s.own[id]; !known {
-			p.Own++
+		if !f.Loads[m.Worker].Failing {
+			// One that does not answer is of no use for now: others take its place.
+			p.Machines++
 		}
-		if f.Loads[m.Worker].Failing {
-			// It is of no use for now: others take its place.
-			pools[id] = p
-			continue
-		}
-		p.Machines++
-		p.Cores = max(p.Cores, float64(m.Capacity.Cores)/1000)
-		p.Demand = f.Demands[id]
 		pools[id] = p
 	}
 	for id, p := range pools {
-		if _, known := s.own[id]; !known {
-			s.own[id] = p.Own
-		}
-		p.Own = s.own[id]
+		p.Cores, p.Demand = cores, f.Demands[id]
+		p.Fair = float64(len(f.Machines)) / float64(len(pools))
 		pools[id] = p
 	}
 	return pools
--- /dev/null
+++ b/mfduty/move_test.go
@@ -0,0 +1,39 @@
+package mfduty_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfduty"
+	"mothferry/mfsched"
+)
+
+// Symptom: after a takeover machines did not follow the demand for seconds.
+// Events: the former owner had moved two thirds of the machines to the pool whose
+// turn it was; its successor sees that pool first with all of them.
+// Cause: a pool kept half of what it had when its owner first saw it.
+func TestTakeoverInATurnKeepsNoPeak(t *testing.T) {
+	s := mfduty.New()
+	f := mfduty.Fleet{
+		Standby: map[mothferry.ServiceID]bool{"off": true}, Loads: map[mothferry.WorkerID]mfsched.Load{},
+		Demands: map[mothferry.ServiceID]mfsched.Demand{"a": {}, "b": {Arriving: 400}},
+	}
+	for i := range 30 {
+		pool := mothferry.ServiceID("a")
+		if i >= 26 {
+			pool = "b"
+		}
+		m := up(mothferry.MachineID(fmt.Sprintf("m-%02d", i)), mothferry.WorkerID(fmt.Sprintf("w-%02d", i)))
+		m.Pool, m.Capacity = pool, mothferry.Resources{Cores: 16000}
+		f.Machines = append(f.Machines, m)
+		f.Loads[m.Worker] = mfsched.Load{Known: true, Service: pool}
+	}
+	to := map[mothferry.ServiceID]int{}
+	for _, c := range s.Plan(f, start) {
+		to[c.Pool]++
+	}
+	assert.Assert(t, to["b"] >= 20, "%v", to)
+}
--- a/mfpool/pool.go
+++ b/mfpool/pool.go
@@ -26,10 +26,11 @@
 	packing = 0.85
 	// spare machines beyond what demand asks for.
 	spare = 1
-	// reserve is the fewest machines that a pool keeps, as a part of what it
-	// has of its own: they take the first two seconds of its turn, until others
-	// have come.
-	reserve = 0.5
+	// reserve is the fewest machines that a pool keeps, as a part of an equal
+	// share of the fleet: they take the first two seconds of its turn, until
+	// others have come. It must not depend on what the pool had when an owner
+	// first saw it: after a takeover that may be its peak.
+	reserve = 0.4
 	// keepFor is how long a pool's need is remembered before it shrinks.
 	keepFor = 3 * time.Second
 )
@@ -38,8 +39,8 @@
 type Pool struct {
 	// Machines counts those that are in it, or on their way to it.
 	Machines int
-	// Own is how many it had when it was first seen.
-	Own int
+	// Fair is an equal share of the fleet.
+	Fair float64
 	// Cores is what one machine has.
 	Cores  float64
 	Demand mfsched.Demand
@@ -54,7 +55,7 @@
 	ready := math.Min(d.ReadyCores, d.ReadyWork/drainWithin)
 	cores := d.Arriving + ready + d.Lasting
 	machines := int(math.Ceil(cores/(p.Cores*packing))) + spare
-	floor := int(math.Ceil(float64(p.Own) * reserve))
+	floor := int(math.Ceil(p.Fair * reserve))
 	return max(machines, floor, p.Demand.Widest)
 }
 
--- a/mfsched/demand.go
+++ b/mfsched/demand.go
@@ -75,6 +75,9 @@
 // Demands returns what each service is asked for.
 func (s *State) Demands(now time.Time) map[mothferry.ServiceID]Demand {
 	demands := map[mothferry.ServiceID]Demand{}
+	for _, q := range s.queues {
+		demands[q.Service] = Demand{}
+	}
 	for service, a := range s.arrivals {
 		demands[service] = Demand{Arriving: a.rate(now)}
 	}
