--- /dev/null
+++ b/mfjob/fuzz_test.go
@@ -0,0 +1,23 @@
+package mfjob_test
+
+import (
+	"testing"
+
+	"mothferry/mfjob"
+)
+
+// Stored rows may be of any program: they are read or refused, never a panic.
+func FuzzDecodeProgress(f *testing.F) {
+	f.Add([]byte(`{"format":1,"state":"running","steps":[[{"tasks":[[0,2,1,"w-1","c"],[1,1,0]]},{"done":true}]]}`))
+	f.Add([]byte(`{"format":1,"steps":[[{"tasks":[null]}]]}`))
+	f.Add([]byte(`{"format":9}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := mfjob.DecodeProgress(data)
+		if err != nil {
+			return
+		}
+		if _, err := mfjob.EncodeProgress(p); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/mfjob/job.go
+++ b/mfjob/job.go
@@ -86,6 +86,8 @@
 	MaxSpec  = 4000
 	MaxSteps = 64
 	MaxTasks = 1000
+	// MaxEstimate keeps sums over a job's steps far from what a duration holds.
+	MaxEstimate = 365 * 24 * time.Hour
 )
 
 // ErrInvalid reports a job that can't be accepted as it is.
@@ -129,6 +131,8 @@
 		return &ErrInvalid{field, "has no sound count of tasks"}
 	case t.Need.Cores < 0 || t.Need.Memory < 0 || t.Need.Accelerators < 0 || t.Estimate < 0:
 		return &ErrInvalid{field, "needs less than nothing"}
+	case t.Estimate > MaxEstimate:
+		return &ErrInvalid{field, "is estimated to take longer than a year"}
 	case t.PerWorker < 0 || t.MayMiss < 0 || t.TailTarget < 0:
 		return &ErrInvalid{field, "has a negative bound"}
 	}
--- a/mfsetting/reference_test.go
+++ b/mfsetting/reference_test.go
@@ -24,10 +24,10 @@
 	return names
 }
 
-// TestReference checks that docs/OPERATORS.md names every field of the
+// TestReference checks that docs/OPERATIONS.md names every field of the
 // settings, and no other.
 func TestReference(t *testing.T) {
-	page, err := os.ReadFile("../docs/OPERATORS.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	_, rest, _ := strings.Cut(string(page), "## Settings")
 	section, _, _ := strings.Cut(rest, "\n## ")
