Let only machines of a former owner's calls wait after a takeover

What: an owner stores in its head which machines it asks for before it does; its successor leaves just those alone for the hand-over. Tests: TestOnlyMachinesOfFormerCallsAreBlocked, TestInheritedStopCountsAsMissing (seen to fail without its guard).

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -136,7 +136,7 @@
 	s.settle(listed, now)
 	short := s.planMoves(f, now)
 	for _, id := range s.waves() {
-		s.planWave(s.Waves[id], listed, f.Loads, short, now)
+		s.planWave(s.Waves[id], listed, f, short, now)
 	}
 	return s.due(f, listed, now)
 }
@@ -175,7 +175,7 @@
 // Deadline is when all machines of the wave should have had their upkeep.
 func (w *Wave) Deadline() time.Time { return w.Begun.Add(w.Within) }
 
-func (s *State) planWave(w *Wave, listed map[mothferry.MachineID]mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, short bool, now time.Time) {
+func (s *State) planWave(w *Wave, listed map[mothferry.MachineID]mothferry.Machine, f Fleet, short bool, now time.Time) {
 	if w.Completed || len(w.Machines) == 0 {
 		return
 	}
@@ -192,7 +192,7 @@
 			busy++
 		case m.State == mothferry.MachineUpkeep:
 			busy++
-		case !w.Done[id] && !underWay && m.State == mothferry.MachineUp:
+		case !w.Done[id] && !underWay && !f.Blocked[id] && m.State == mothferry.MachineUp:
 			left = append(left, m)
 		}
 		if !w.Done[id] {
@@ -207,7 +207,7 @@
 		return
 	}
 	slices.SortFunc(left, func(a, b mothferry.Machine) int {
-		return cmp.Or(loads[a.Worker].Compare(loads[b.Worker]), cmp.Compare(a.Machine, b.Machine))
+		return cmp.Or(f.Loads[a.Worker].Compare(f.Loads[b.Worker]), cmp.Compare(a.Machine, b.Machine))
 	})
 	for _, m := range left {
 		if busy >= w.AtOnce {
--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -17,6 +17,8 @@
 	Demands  map[mothferry.ServiceID]mfsched.Demand
 	// Standby holds the pools whose machines are off.
 	Standby map[mothferry.ServiceID]bool
+	// Blocked holds machines that a former owner may have asked for just now.
+	Blocked map[mothferry.MachineID]bool
 }
 
 // empty reports whether a worker is known to run nothing.
@@ -132,7 +134,7 @@
 	}
 	var free []mothferry.Machine
 	for _, m := range f.Machines {
-		if _, busy := s.errands[m.Machine]; busy || m.State != mothferry.MachineUp {
+		if _, busy := s.errands[m.Machine]; busy || f.Blocked[m.Machine] || m.State != mothferry.MachineUp {
 			continue
 		}
 		switch {
--- a/mfduty/move_test.go
+++ b/mfduty/move_test.go
@@ -37,3 +37,27 @@
 	}
 	assert.Assert(t, to["b"] >= 20, "%v", to)
 }
+
+// Symptom: in the first seconds of a turn that began just after a takeover half of
+// the jobs were late.
+// Cause: all machines waited until the former owner's last call was three seconds
+// old, though it had called few of them.
+func TestOnlyMachinesOfFormerCallsAreBlocked(t *testing.T) {
+	s := mfduty.New()
+	off := map[mothferry.ServiceID]bool{"off": true}
+	f := mfduty.Fleet{
+		Standby: off, Demands: map[mothferry.ServiceID]mfsched.Demand{"a": {Arriving: 10}},
+		Blocked: map[mothferry.MachineID]bool{"m-1": true},
+	}
+	for _, id := range []mothferry.MachineID{"m-1", "m-2"} {
+		m := up(id, "")
+		m.Pool, m.Capacity = "off", mothferry.Resources{Cores: 16000}
+		f.Machines = append(f.Machines, m)
+	}
+	s.Ask(wave(2, "m-1"), start)
+	calls := s.Plan(f, start)
+	assert.Equal(t, len(calls), 1)
+	assert.Equal(t, calls[0].Machine, mothferry.MachineID("m-2"))
+	f.Blocked = nil
+	assert.Equal(t, len(s.Plan(f, start)), 1)
+}
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,7 +25,8 @@
 	// callWithin is how long after the last stored commit machines may be
 	// changed: below ownerLease, so that no other host owns the shard by then.
 	callWithin = time.Second
-	// handOverMargin is added to the pause after a takeover.
+	// handOverMargin is added to the pause before a machine that the former owner
+	// may have asked for is asked for again.
 	handOverMargin = 300 * time.Millisecond
 )
 
@@ -37,6 +39,10 @@
 	// seen holds the machines as they were listed last.
 	seen map[mothferry.MachineID]mothferry.Machine
 	next time.Time
+	// called holds when machines were asked for, waiting the calls that no commit
+	// names yet, releasing those that the commit under way names.
+	called             map[mothferry.MachineID]time.Time
+	waiting, releasing []mfduty.Call
 	// stored is what the store holds of each wave.
 	stored map[mothferry.WaveID]string
 	// told is what the operator was told of each wave.
@@ -116,18 +122,46 @@
 }
 
 // mayChangeMachines reports whether this host may ask for changes of machines:
-// the former owner's last call is long enough ago, and no other host can own
-// the shard yet. Both the steady clock and the time of day have to agree, as
-// the steady clock stands still while a host is suspended.
+// no other host can own the shard yet. Both the steady clock and the time of day
+// have to agree, as the steady clock stands still while a host is suspended.
 func (s *session) mayChangeMachines(now time.Time) bool {
-	if !s.again && now.Sub(s.former) < callWithin+s.owner.MachineHandOver+handOverMargin {
-		return false
-	}
 	steady := now.Sub(s.confirmed)
 	wall := now.Round(0).Sub(s.confirmed.Round(0))
 	return max(steady, wall) < callWithin
 }
 
+// blocked returns the machines that the former owner may have asked for lately:
+// two hosts must not take turns at one machine within MachineHandOver. Other
+// machines need not wait, so that pools follow the demand over a takeover.
+func (s *session) blocked(now time.Time) map[mothferry.MachineID]bool {
+	blocked := map[mothferry.MachineID]bool{}
+	if s.again || now.Sub(s.former) >= callWithin+s.owner.MachineHandOver+handOverMargin {
+		return blocked
+	}
+	for _, m := range s.formerCalled {
+		blocked[m] = true
+	}
+	return blocked
+}
+
+// calledFor is how long a call is kept in the head: until a successor that takes
+// over on the last commit could have waited it out.
+const calledFor = 6 * time.Second
+
+// called returns the machines that were asked for lately, for the head.
+func (s *session) called(now time.Time) []mothferry.MachineID {
+	var out []mothferry.MachineID
+	for m, at := range s.duties.called {
+		if now.Sub(at) > calledFor {
+			delete(s.duties.called, m)
+			continue
+		}
+		out = append(out, m)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // doDuties lists machines when it is time to, and plans once the list is there.
 func (s *session) doDuties(now time.Time) {
 	if now.Before(s.duties.next) || s.duties.listing {
@@ -163,11 +197,18 @@
 	}
 	calls := s.duties.state.Plan(mfduty.Fleet{
 		Machines: machines, Loads: s.state.Loads(), Demands: s.state.Demands(now), Standby: s.duties.standby,
+		Blocked: s.blocked(now),
 	}, now)
 	s.step(mfsched.WorkersLeaving{Workers: s.duties.state.Leaving()})
+	if len(calls) == 0 {
+		return
+	}
+	// The calls go out once a commit has stored that they may.
 	for _, c := range calls {
-		go s.callMachine(c)
+		s.duties.called[c.Machine] = now
 	}
+	s.duties.waiting = append(s.duties.waiting, calls...)
+	s.step(mfsched.CommitWanted{})
 }
 
 // coresOf returns the cores of all machines that are not down.
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -125,7 +125,7 @@
 	err := c.write(ctx, mfrecord.Head{
 		Holder: o.Daemon, Epoch: seen.head.Epoch + 1, Cores: o.Cores,
 		// Until this owner has written anew its predecessor's leases count too.
-		LeaseTail: max(o.Limits.LeaseTail(), seen.head.LeaseTail), Pending: seen.head.Pending,
+		LeaseTail: max(o.Limits.LeaseTail(), seen.head.LeaseTail), Pending: seen.head.Pending, Called: seen.head.Called,
 	}, nil)
 	entry := o.Log.WithFields(log.Fields{"epoch": seen.head.Epoch + 1, "former": seen.head.Holder, "unchanged_ms": seen.read.Sub(seen.since).Milliseconds()})
 	if err != nil {
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -44,6 +44,8 @@
 	former, confirmed time.Time
 	// again says that the former owner was an earlier life of this daemon.
 	again bool
+	// formerCalled holds the machines that the former owner may have asked for.
+	formerCalled []mothferry.MachineID
 	// sent is when the commit under way was sent.
 	sent time.Time
 	// written brings the result of the commit under way.
@@ -72,10 +74,14 @@
 	s := &session{
 		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken, former.Add(tail)),
 		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), former: former, again: seen.head.Holder == o.Daemon, confirmed: taken,
-		duties:  duties{state: mfduty.New(), stored: map[mothferry.WaveID]string{}, told: map[mothferry.WaveID]bool{}},
+		duties:  duties{state: mfduty.New(), called: map[mothferry.MachineID]time.Time{}, stored: map[mothferry.WaveID]string{}, told: map[mothferry.WaveID]bool{}},
 		written: make(chan error, 1),
 		loaded:  make(chan struct{}), ctx: inner, commits: commits,
 	}
+	for _, m := range seen.head.Called {
+		s.duties.called[m] = taken
+		s.formerCalled = append(s.formerCalled, m)
+	}
 	if err := s.load(); err != nil {
 		return err
 	}
@@ -209,6 +215,7 @@
 			}
 			s.inFlight = false
 			s.confirmed = s.sent
+			s.releaseCalls()
 			s.step(mfsched.CommitDone{Number: s.number})
 		case e := <-s.events:
 			s.step(e)
@@ -310,6 +317,7 @@
 		rows = append(rows, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: value})
 	}
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.Cores, LeaseTail: s.owner.Limits.LeaseTail(), Pending: s.chain.head.Pending}
+	head.Called = s.called(s.owner.Clock.Now())
 	if pending, known := s.state.Pending(); known {
 		head.Pending, head.Waits = pending, s.state.Waits(s.owner.Clock.Now())
 	}
@@ -317,6 +325,7 @@
 	board.Read = s.owner.Clock.Now()
 	s.owner.board.Store(&board)
 	rows = append(rows, s.waveRows()...)
+	s.duties.releasing, s.duties.waiting = s.duties.waiting, nil
 	s.inFlight, s.number, s.sent = true, c.Number, s.owner.Clock.Now()
 	go func() {
 		began := s.owner.Clock.Now()
@@ -328,6 +337,14 @@
 	}()
 }
 
+// releaseCalls asks for the machines that the stored commit names.
+func (s *session) releaseCalls() {
+	for _, c := range s.duties.releasing {
+		go s.callMachine(c)
+	}
+	s.duties.releasing = nil
+}
+
 func (s *session) decided(d mfsched.Decision) {
 	if s.owner.Decided != nil {
 		s.owner.Decided(d.Message)
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -106,6 +106,9 @@
 	Pending map[mothferry.QueueID]int
 	// Waits is how long work that comes now would wait in each service.
 	Waits map[mothferry.ServiceID]time.Duration
+	// Called holds the machines that this owner, or its predecessor, may have
+	// asked for changes of lately. An owner asks only once that is stored.
+	Called []mothferry.MachineID
 	// Read is when this host read the row; it is not stored.
 	Read time.Time
 }
@@ -119,6 +122,7 @@
 	Token   mothferry.Token               `json:"token"`
 	Pending map[mothferry.QueueID]int     `json:"pending,omitempty"`
 	WaitMs  map[mothferry.ServiceID]int64 `json:"wait_ms,omitempty"`
+	Called  []mothferry.MachineID         `json:"called,omitempty"`
 }
 
 // ErrNewerHead reports a head row of a newer program.
@@ -131,7 +135,7 @@
 func (h Head) Encode() ([]byte, error) {
 	stored := storedHead{
 		Format: headFormat, Holder: h.Holder, Epoch: h.Epoch, Cores: h.Cores,
-		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Pending: h.Pending, WaitMs: map[mothferry.ServiceID]int64{},
+		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Pending: h.Pending, Called: h.Called, WaitMs: map[mothferry.ServiceID]int64{},
 	}
 	for service, wait := range h.Waits {
 		stored.WaitMs[service] = wait.Milliseconds()
@@ -151,7 +155,7 @@
 	}
 	h := Head{
 		Holder: s.Holder, Epoch: s.Epoch, Cores: s.Cores, LeaseTail: time.Duration(s.TailMs) * time.Millisecond,
-		Token: s.Token, Pending: s.Pending, Waits: map[mothferry.ServiceID]time.Duration{},
+		Token: s.Token, Pending: s.Pending, Called: s.Called, Waits: map[mothferry.ServiceID]time.Duration{},
 	}
 	for service, ms := range s.WaitMs {
 		h.Waits[service] = time.Duration(ms) * time.Millisecond
--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -10,7 +10,7 @@
 			continue
 		}
 		for _, t := range w.pick(func(t *task) bool { return t.step.of.Lasting && t.phase == phaseRunning }) {
-			if mayStop(t) {
+			if s.mayStop(t, now) {
 				s.emit(Decision{Message: "task is moved away", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{"step": t.name.Step, "index": t.name.Index, "run": t.run}})
 				s.stop(t, now)
 			}
@@ -20,22 +20,26 @@
 
 // mayStop reports whether a lasting task may be stopped by our own choice: so
 // many of its step may be missing, and as many others are not.
-func mayStop(t *task) bool {
+func (s *State) mayStop(t *task, now time.Time) bool {
 	if t.step.of.MayMiss == 0 {
 		return true
 	}
-	return missingBeside(t) < t.step.of.MayMiss
+	return s.missingBeside(t, now) < t.step.of.MayMiss
 }
 
 // missingBeside counts the other tasks of a step that are not at work. One
 // whose worker was not heard counts as missing: its end may just not be known.
-func missingBeside(t *task) int {
+// So does one that an earlier owner started, until it could no longer be on its
+// way out: that owner may have stopped it, and its worker lists it as running
+// until it has ended.
+func (s *State) missingBeside(t *task, now time.Time) int {
 	count := 0
 	for _, o := range t.step.tasks {
 		if o == t {
 			continue
 		}
-		if o.phase != phaseRunning || !o.away.IsZero() || o.worker.failing {
+		leaving := !o.inherited.IsZero() && now.Sub(o.inherited) < s.Limits.StopWithin+stopMargin
+		if o.phase != phaseRunning || !o.away.IsZero() || o.worker.failing || leaving {
 			count++
 		}
 	}
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -145,6 +145,9 @@
 	Cores float64
 }
 
+// CommitWanted asks for a commit soon, though no job has changed.
+type CommitWanted struct{}
+
 // WorkerOver says that a life of a worker is known to have ended.
 type WorkerOver struct {
 	Worker mothferry.WorkerID
@@ -167,6 +170,7 @@
 func (AdviceAnswered) event() {}
 func (WorkersLeaving) event() {}
 func (FleetSized) event()     {}
+func (CommitWanted) event()   {}
 func (WorkerOver) event()     {}
 func (Tick) event()           {}
 
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -64,6 +64,9 @@
 	lookRetry = 300 * time.Millisecond
 	// stopRetry is the pause before an order to stop is sent again.
 	stopRetry = 500 * time.Millisecond
+	// stopMargin is how much longer than a stop may take its end may be unseen:
+	// a look and its answer.
+	stopMargin = 300 * time.Millisecond
 	// refusedPause is how long a worker that refused an order gets no new work.
 	refusedPause = 150 * time.Millisecond
 	// fullPace is the pace of a task that is not slowed down, in percent.
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -75,6 +75,9 @@
 	if t.phase == phaseSent || t.phase == phaseUnclear {
 		t.phase = phaseRunning
 		t.confirmed, t.advanced = now, now
+		if !t.inherited.IsZero() {
+			t.inherited = now
+		}
 	}
 	if t.phase == phaseStopping {
 		s.stopAgain(t, now)
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -54,6 +54,9 @@
 	checkpoint mothferry.Checkpoint
 	// worker may run the task; nil while it waits or is done.
 	worker *worker
+	// inherited is when a run of an earlier owner was first confirmed; zero for
+	// this owner's own runs.
+	inherited time.Time
 	// avoid is the worker on which the last run failed or stood still.
 	avoid mothferry.WorkerID
 	// notBefore delays the next start after a refusal or a failure.
@@ -154,6 +157,7 @@
 	committing []plannedRun
 	noting     map[mothferry.WorkerID]mothferry.EndNumber
 	inFlight   bool
+	wanted     bool
 	number     int
 	// commitSent is when the commit under way was asked for, lastCommit when
 	// the last one that is stored was.
@@ -203,6 +207,8 @@
 		s.over(v.Worker, now)
 	case FleetSized:
 		s.fleetCores = v.Cores
+	case CommitWanted:
+		s.wanted = true
 	case WorkersLeaving:
 		s.leaving = v.Workers
 	case LookAnswered:
@@ -322,7 +328,7 @@
 		w = s.placeholder(p.Worker)
 	}
 	s.assign(t, w, phaseUnclear)
-	t.confirmed = now
+	t.confirmed, t.inherited = now, now
 }
 
 // finish marks a task as done and frees what it held.
@@ -356,7 +362,7 @@
 	t.worker, t.phase = nil, phaseWaiting
 	t.step.waiting++
 	t.percent, t.tail, t.stopped, t.stopSent, t.confirmed = 0, 0, time.Time{}, time.Time{}, time.Time{}
-	t.overTarget, t.pace = time.Time{}, fullPace
+	t.overTarget, t.pace, t.inherited = time.Time{}, fullPace, time.Time{}
 }
 
 // room is what a step's task takes of a worker's capacity. Tasks that fill use
--- a/mfsched/takeover_test.go
+++ b/mfsched/takeover_test.go
@@ -78,6 +78,33 @@
 	}
 }
 
+// Symptom: two tasks of a step that may miss one were ended at the same time.
+// Events: an owner stops a task to empty its machine and gives the shard up; its
+// successor sees the task still listed as running, and stops another one.
+// Cause: what an earlier owner stopped looks like running until it has ended.
+func TestInheritedStopCountsAsMissing(t *testing.T) {
+	s := newScript(t)
+	job := submission(s.now, 2)
+	job.Steps[0].Lasting, job.Steps[0].MayMiss = true, 1
+	s.step(mfsched.JobFound{Job: "j", Submission: job, Progress: &mfjob.Progress{
+		State:       mfjob.StateRunning,
+		Occurrences: [][]mfjob.StepProgress{{{Tasks: []mfjob.TaskProgress{{Run: 1, Worker: "w-1"}, {Run: 1, Worker: "w-2"}}}}},
+	}})
+	s.list("w-1")
+	s.list("w-2")
+	s.step(mfsched.WorkersLeaving{Workers: map[mothferry.WorkerID]bool{"w-1": true}})
+	s.pass(10 * time.Millisecond)
+	for i, id := range []mothferry.WorkerID{"w-1", "w-2"} {
+		s.look(id, mothferry.LookReport{Running: []mothferry.RunningTask{{
+			Task: mothferry.TaskName{Job: "j", Index: i}, Run: 1, Percent: 100,
+		}}})
+	}
+	s.pass(800 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Stop](s)), 0)
+	s.pass(600 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Stop](s)), 1)
+}
+
 // Symptom: a host said that no job waits, though ten had for five seconds.
 // Events: the owner changes; the new one commits before it has read the jobs.
 // Cause: its first commits counted the jobs that it knew, none.
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -51,7 +51,7 @@
 
 // commit stores the jobs that changed, or renews the ownership if none did.
 func (s *State) commit(now time.Time) {
-	noting := false
+	noting := s.wanted
 	for _, w := range s.workers {
 		if w.seen > w.noted {
 			noting = true
@@ -82,7 +82,7 @@
 			}
 		}
 	}
-	s.inFlight, s.commitSent = true, now
+	s.inFlight, s.commitSent, s.wanted = true, now, false
 	s.emit(c)
 }
 
