--- a/mfcommand/play.go
+++ b/mfcommand/play.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -13,15 +12,6 @@
 	"mothferry/mfsched"
 )
 
-// playLimits are those of the users' deployments of today.
-func playLimits() mfsched.Limits {
-	return mfsched.Limits{
-		Hold: 4500 * time.Millisecond, HoldMax: 6 * time.Second, ExtendFor: 4 * time.Second,
-		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second,
-		AtWorkWithin: 4500 * time.Millisecond, TailBadFor: 4 * time.Second,
-	}
-}
-
 func playCommand() command {
 	return command{
 		name: "play", arguments: "FILE", help: "Play a load file against the emulator and print what came of it.",
@@ -44,7 +34,7 @@
 				}
 				for k := range *plays {
 					s := *seed + uint64(k)
-					if err := printPlay(e, *output, s, mfemulate.Play(load, playLimits(), s, !*fixed)); err != nil {
+					if err := printPlay(e, *output, s, mfemulate.Play(load, mfsched.UsualLimits(), s, !*fixed)); err != nil {
 						return err
 					}
 				}
--- a/mfemulate/history_test.go
+++ b/mfemulate/history_test.go
@@ -14,13 +14,7 @@
 	"mothferry/mfsched"
 )
 
-func limits() mfsched.Limits {
-	return mfsched.Limits{
-		Hold: 4500 * time.Millisecond, HoldMax: 6 * time.Second, ExtendFor: 4 * time.Second,
-		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second,
-		AtWorkWithin: 4500 * time.Millisecond, TailBadFor: 4 * time.Second,
-	}
-}
+func limits() mfsched.Limits { return mfsched.UsualLimits() }
 
 func queues() map[mothferry.QueueID]mfsched.Queue {
 	return map[mothferry.QueueID]mfsched.Queue{
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -264,7 +264,8 @@
 		return
 	}
 	s.config = c
-	e := mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{}, Standby: map[mothferry.ServiceID]bool{}}
+	e := mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{}}
+	s.duties.standby = map[mothferry.ServiceID]bool{}
 	for _, q := range c.Queues {
 		e.Queues[q.ID] = mfsched.Queue{
 			Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
@@ -272,9 +273,8 @@
 		}
 	}
 	for _, v := range c.Services {
-		e.Standby[v.ID] = v.Standby
+		s.duties.standby[v.ID] = v.Standby
 	}
-	s.duties.standby = e.Standby
 	s.step(e)
 }
 
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -25,11 +25,9 @@
 	Advised bool
 }
 
-// ConfigChanged brings the queues and services of a newer config.
+// ConfigChanged brings the queues of a newer config.
 type ConfigChanged struct {
 	Queues map[mothferry.QueueID]Queue
-	// Standby holds the services whose machines are off.
-	Standby map[mothferry.ServiceID]bool
 }
 
 // JobFound brings a job that a caller handed in, with its progress if an
--- a/mfsched/harness_test.go
+++ b/mfsched/harness_test.go
@@ -19,13 +19,7 @@
 	service mothferry.ServiceID = "s"
 )
 
-func limits() mfsched.Limits {
-	return mfsched.Limits{
-		Hold: 4500 * time.Millisecond, HoldMax: 6 * time.Second, ExtendFor: 4 * time.Second,
-		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second,
-		AtWorkWithin: 4500 * time.Millisecond, TailBadFor: 4 * time.Second,
-	}
-}
+func limits() mfsched.Limits { return mfsched.UsualLimits() }
 
 // script feeds events to a scheduler by hand and keeps the commands.
 type script struct {
@@ -123,3 +117,18 @@
 		Steps: []mfjob.Step{{Count: count, Need: mothferry.Resources{Cores: 1000}, Estimate: 600 * time.Millisecond}},
 	}
 }
+
+// runningOn returns a scheduler with one job, whose one task runs on a worker.
+func runningOn(t *testing.T, id mothferry.WorkerID) (*script, mothferry.TaskName) {
+	t.Helper()
+	s := newScript(t)
+	s.list(id)
+	s.pass(10 * time.Millisecond)
+	s.look(id, mothferry.LookReport{})
+	s.submit("j", 1)
+	s.pass(50 * time.Millisecond)
+	starts := taken[mfsched.Start](s)
+	assert.Equal(t, len(starts), 1)
+	s.step(mfsched.StartAnswered{Worker: id, Task: starts[0].Order.Task, Run: 1, Result: mfsched.ResultDone})
+	return s, starts[0].Order.Task
+}
--- /dev/null
+++ b/mfsched/job.go
@@ -0,0 +1,219 @@
+package mfsched
+
+import (
+	"time"
+
+	"mothferry"
+	"mothferry/mfjob"
+)
+
+func (s *State) found(e JobFound, now time.Time) {
+	if _, known := s.jobs[e.Job]; known {
+		return
+	}
+	j := &job{id: e.Job, submission: e.Submission, state: mfjob.StateQueued, chain: e.Submission.Chain()}
+	s.jobs[e.Job] = j
+	if e.Progress != nil && e.Progress.State.Final() {
+		j.state, j.over = e.Progress.State, now
+		j.submission.Steps, j.submission.Spec = nil, ""
+		s.ended = append(s.ended, j)
+		return
+	}
+	s.live[e.Job] = j
+	for k := range e.Submission.Occurrences() {
+		j.occurrences = append(j.occurrences, newOccurrence(j, k, now))
+	}
+	if e.Progress == nil && s.loaded {
+		s.arrived(j, now)
+	}
+	if e.Progress != nil {
+		j.state = e.Progress.State
+		s.restore(j, *e.Progress, now)
+	}
+	if s.cancelledEarly[e.Job] {
+		delete(s.cancelledEarly, e.Job)
+		s.cancel(e.Job, now)
+	}
+}
+
+func newOccurrence(j *job, number int, now time.Time) *occurrence {
+	o := &occurrence{}
+	if j.submission.Repeat > 0 {
+		o.due = j.submission.First.Add(time.Duration(number) * j.submission.Interval)
+	}
+	for i := range j.submission.Steps {
+		of := &j.submission.Steps[i]
+		p := &step{name: StepName{Job: j.id, Occurrence: number, Step: i}, of: of, open: of.Count, waiting: of.Count}
+		for x := range of.Count {
+			name := mothferry.TaskName{Job: j.id, Occurrence: number, Step: i, Index: x}
+			p.tasks = append(p.tasks, &task{name: name, job: j, step: p, away: now, pace: fullPace})
+		}
+		o.steps = append(o.steps, p)
+	}
+	return o
+}
+
+// restore brings a job to what an earlier owner stored. Runs that may be on a
+// worker stay unclear until that worker was sealed and looked at.
+func (s *State) restore(j *job, p mfjob.Progress, now time.Time) {
+	for k, steps := range p.Occurrences {
+		for i, stored := range steps {
+			if k >= len(j.occurrences) || i >= len(j.occurrences[k].steps) {
+				continue
+			}
+			at := j.occurrences[k].steps[i]
+			for x, t := range at.tasks {
+				switch {
+				case stored.Done:
+					s.finish(t)
+				case x < len(stored.Tasks):
+					s.restoreTask(t, stored.Tasks[x], now)
+				}
+			}
+		}
+	}
+}
+
+func (s *State) restoreTask(t *task, p mfjob.TaskProgress, now time.Time) {
+	t.run, t.failures, t.checkpoint = p.Run, p.Failures, p.Checkpoint
+	if p.Run > 0 {
+		t.job.touched = true
+	}
+	if p.Done {
+		s.finish(t)
+		return
+	}
+	if p.Worker == "" {
+		return
+	}
+	w, ok := s.workers[p.Worker]
+	if !ok {
+		w = s.placeholder(p.Worker)
+	}
+	s.assign(t, w, phaseUnclear)
+	t.confirmed, t.inherited = now, now
+}
+
+// finish marks a task as done and frees what it held.
+func (s *State) finish(t *task) {
+	if t.phase == phaseDone {
+		return
+	}
+	s.release(t)
+	t.step.waiting--
+	t.phase = phaseDone
+	t.step.open--
+}
+
+// assign binds a task to a worker and takes the room it needs.
+func (s *State) assign(t *task, w *worker, p phase) {
+	if t.phase == phaseWaiting {
+		t.step.waiting--
+	}
+	t.worker, t.phase = w, p
+	w.tasks[t.name] = t
+	w.used = w.used.Add(room(t.step.of))
+}
+
+// release frees a task from its worker; it waits then.
+func (s *State) release(t *task) {
+	if t.worker == nil {
+		return
+	}
+	delete(t.worker.tasks, t.name)
+	t.worker.used = t.worker.used.Sub(room(t.step.of))
+	t.worker, t.phase = nil, phaseWaiting
+	t.step.waiting++
+	t.percent, t.tail, t.stopped, t.stopSent, t.confirmed = 0, 0, time.Time{}, time.Time{}, time.Time{}
+	t.pace, t.inherited = fullPace, time.Time{}
+}
+
+// room is what a step's task takes of a worker's capacity. Tasks that fill use
+// only processor time that others leave.
+func room(of *mfjob.Step) mothferry.Resources {
+	need := of.Need
+	if of.Fills {
+		need.Cores = 0
+	}
+	return need
+}
+
+func (s *State) touch(j *job) { s.dirty[j.id] = j }
+
+// cancel ends a job by its caller's wish and stops all its runs.
+func (s *State) cancel(id mothferry.JobID, now time.Time) {
+	j, ok := s.jobs[id]
+	if !ok {
+		s.cancelledEarly[id] = true
+		return
+	}
+	if j.state.Final() {
+		return
+	}
+	s.conclude(j, mfjob.StateCancelled, now)
+}
+
+// conclude gives a job its final state and stops what still runs of it.
+func (s *State) conclude(j *job, state mfjob.State, now time.Time) {
+	j.state, j.over = state, now
+	s.touch(j)
+	delete(s.live, j.id)
+	s.ended = append(s.ended, j)
+	for _, o := range j.occurrences {
+		for _, p := range o.steps {
+			for _, t := range p.tasks {
+				if t.assigned() {
+					s.stop(t, now)
+				}
+			}
+		}
+	}
+	s.emit(Decision{Message: "job is over", Job: j.id, Fields: map[string]any{
+		"state": state, "queue": j.submission.Queue, "age_ms": now.Sub(j.submission.Accepted).Milliseconds(),
+	}})
+}
+
+// stop tells a task's worker to end its run. The run counts as being there
+// until its end is known.
+func (s *State) stop(t *task, now time.Time) {
+	if t.phase == phasePlanned {
+		// The order was never sent and never will be.
+		s.release(t)
+		s.touch(t.job)
+		return
+	}
+	t.phase = phaseStopping
+	t.stopSent = now
+	s.emit(Stop{At: t.worker.at, Task: t.name, Run: t.run})
+}
+
+// progressOf returns what must last of a job.
+func progressOf(j *job) mfjob.Progress {
+	p := mfjob.Progress{State: j.state}
+	if j.state.Final() {
+		return p
+	}
+	for _, o := range j.occurrences {
+		var steps []mfjob.StepProgress
+		for _, at := range o.steps {
+			steps = append(steps, progressOfStep(at))
+		}
+		p.Occurrences = append(p.Occurrences, steps)
+	}
+	return p
+}
+
+func progressOfStep(at *step) mfjob.StepProgress {
+	if at.open == 0 {
+		return mfjob.StepProgress{Done: true}
+	}
+	var out mfjob.StepProgress
+	for _, t := range at.tasks {
+		stored := mfjob.TaskProgress{Done: t.phase == phaseDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint}
+		if t.worker != nil {
+			stored.Worker = t.worker.at.Worker
+		}
+		out.Tasks = append(out.Tasks, stored)
+	}
+	return out
+}
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -17,8 +17,27 @@
 	KeepFinal time.Duration
 	// AtWorkWithin is how long a lasting task may be away before it counts as missing.
 	AtWorkWithin time.Duration
-	// TailBadFor is how long a tail may be over its target before users are harmed.
-	TailBadFor time.Duration
+}
+
+// Leases of an owner, unless a deployment needs others.
+const (
+	// DefaultHold is short enough that a silent worker's tasks start elsewhere
+	// while they are of use, and long enough for a takeover: an owner's silence is
+	// noticed after 1.5 s, and its last look may be a second older.
+	DefaultHold = 4500 * time.Millisecond
+	// DefaultExtendFor rides out an outage of the store of 4 s, and 4.5 s more as
+	// the leases run out. A successor waits that long for silent workers. With
+	// 2.5 s instead, days with trouble showed no difference.
+	DefaultExtendFor = 4 * time.Second
+)
+
+// UsualLimits are those of the users' deployments of today, for experiments
+// and tests.
+func UsualLimits() Limits {
+	return Limits{
+		Hold: DefaultHold, HoldMax: 6 * time.Second, ExtendFor: DefaultExtendFor,
+		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second, AtWorkWithin: 4500 * time.Millisecond,
+	}
 }
 
 // LeaseTail is how long after an owner's last commit leases may still run that
--- a/mfsched/silent_test.go
+++ b/mfsched/silent_test.go
@@ -16,15 +16,7 @@
 // Cause: each look without answer asked for a longer lease, and as one of them
 // may have arrived, the lease never counted as lapsed.
 func TestSilentWorkersTasksStartElsewhere(t *testing.T) {
-	s := newScript(t)
-	s.list("w-1")
-	s.pass(10 * time.Millisecond)
-	s.look("w-1", mothferry.LookReport{})
-	s.submit("j", 1)
-	s.pass(50 * time.Millisecond)
-	first := taken[mfsched.Start](s)
-	assert.Equal(t, len(first), 1)
-	s.step(mfsched.StartAnswered{Worker: "w-1", Task: first[0].Order.Task, Run: 1, Result: mfsched.ResultDone})
+	s, _ := runningOn(t, "w-1")
 	s.list("w-2")
 	began := s.now
 	for s.now.Sub(began) < 7*time.Second {
@@ -54,14 +46,7 @@
 // Cause: each answer to a stop counted anew, so that it always came after the
 // look under way was sent, and no look ever counted as later.
 func TestAnsweredStopStaysAnswered(t *testing.T) {
-	s := newScript(t)
-	s.list("w-1")
-	s.pass(10 * time.Millisecond)
-	s.look("w-1", mothferry.LookReport{})
-	s.submit("j", 1)
-	s.pass(50 * time.Millisecond)
-	o := taken[mfsched.Start](s)[0].Order
-	s.step(mfsched.StartAnswered{Worker: "w-1", Task: o.Task, Run: 1, Result: mfsched.ResultDone})
+	s, _ := runningOn(t, "w-1")
 	s.pass(100 * time.Millisecond)
 	s.step(mfsched.CancelFound{Job: "j"})
 	began := s.now
@@ -90,14 +75,7 @@
 // as done; the order is carried out late.
 // Cause: the second worker was not told to stop a run that was not there yet.
 func TestLateStartOfDoneTaskIsStopped(t *testing.T) {
-	s := newScript(t)
-	s.list("w-1")
-	s.pass(10 * time.Millisecond)
-	s.look("w-1", mothferry.LookReport{})
-	s.submit("j", 1)
-	s.pass(50 * time.Millisecond)
-	o := taken[mfsched.Start](s)[0].Order
-	s.step(mfsched.StartAnswered{Worker: "w-1", Task: o.Task, Run: 1, Result: mfsched.ResultDone})
+	s, task := runningOn(t, "w-1")
 	s.list("w-2")
 	for len(taken[mfsched.Start](s)) == 0 {
 		s.pass(50 * time.Millisecond)
@@ -111,7 +89,7 @@
 		assert.Assert(t, s.now.Sub(start) < 20*time.Second, "the task was not ordered elsewhere")
 	}
 	s.pass(400 * time.Millisecond)
-	s.look("w-1", mothferry.LookReport{Ended: []mothferry.EndedTask{{Number: 1, Task: o.Task, Run: 1, Cause: mothferry.EndDone}}})
+	s.look("w-1", mothferry.LookReport{Ended: []mothferry.EndedTask{{Number: 1, Task: task, Run: 1, Cause: mothferry.EndDone}}})
 	stops := taken[mfsched.Stop](s)
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, stops[0].At.Worker, mothferry.WorkerID("w-2"))
