--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -107,7 +107,9 @@
 	}
 	metrics, err := d.server(d.Settings.Metrics, promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}))
 	if err != nil {
-		return err
+		// Nobody is served worse without metrics.
+		d.log.WithError(err).WithField("address", d.Settings.Metrics).Error("metrics are not served")
+		metrics = &http.Server{ReadHeaderTimeout: headerTimeout}
 	}
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
