Count a former owner's calls for a wave's bound

What could go wrong: a successor lists machines before one that its predecessor asked for shows as down, and takes one too many of the wave. Test: TestFormerOwnersCallsCountForTheWave, seen to fail before.

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -190,9 +190,10 @@
 		switch {
 		case underWay && e.call.Kind == KindUpkeep && e.call.Wave == w.Wave.Wave:
 			busy++
-		case m.State == mothferry.MachineUpkeep:
+		case m.State == mothferry.MachineUpkeep, f.Blocked[id] && !w.Done[id]:
+			// A machine that a former owner asked for may be going down.
 			busy++
-		case !w.Done[id] && !underWay && !f.Blocked[id] && m.State == mothferry.MachineUp:
+		case !w.Done[id] && !underWay && m.State == mothferry.MachineUp:
 			left = append(left, m)
 		}
 		if !w.Done[id] {
--- a/mfduty/duty_test.go
+++ b/mfduty/duty_test.go
@@ -104,3 +104,18 @@
 	f.Loads = map[mothferry.WorkerID]mfsched.Load{"w-1": {Known: true}, "w-2": {Known: true}}
 	assert.Assert(t, len(s.Plan(f, start.Add(19*time.Second))) > 0)
 }
+
+// Symptom guarded against: more machines of a wave are down than it allows.
+// Events: an owner asks for a machine and dies; its successor's list does not
+// show the machine as down yet.
+func TestFormerOwnersCallsCountForTheWave(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1", "m-2"), start)
+	f := mfduty.Fleet{
+		Machines: []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}, Standby: off,
+		Blocked: map[mothferry.MachineID]bool{"m-1": true},
+	}
+	assert.Equal(t, len(s.Plan(f, start)), 0)
+	f.Blocked = nil
+	assert.Equal(t, len(s.Plan(f, start.Add(5*time.Second))), 1)
+}
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -49,6 +49,15 @@
 	told map[mothferry.WaveID]bool
 }
 
+func newDuties() duties {
+	return duties{
+		state:  mfduty.New(),
+		called: map[mothferry.MachineID]time.Time{},
+		stored: map[mothferry.WaveID]string{},
+		told:   map[mothferry.WaveID]bool{},
+	}
+}
+
 // storedWave is the row of a wave under way.
 type storedWave struct {
 	Format int                   `json:"format"`
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -70,17 +70,25 @@
 	commits, cancelCommits := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelCommits()
 	former := seen.lastCommit(taken)
-	tail := c.head.LeaseTail
 	s := &session{
-		owner: o, chain: c, state: mfsched.New(o.Limits, c.head.Epoch, taken, former.Add(tail)),
-		events: make(chan mfsched.Event, eventRoom), acts: make(chan func(), eventRoom), former: former, again: seen.head.Holder == o.Daemon, confirmed: taken,
-		duties:  duties{state: mfduty.New(), called: map[mothferry.MachineID]time.Time{}, stored: map[mothferry.WaveID]string{}, told: map[mothferry.WaveID]bool{}},
-		written: make(chan error, 1),
-		loaded:  make(chan struct{}), ctx: inner, commits: commits,
+		owner:        o,
+		chain:        c,
+		state:        mfsched.New(o.Limits, c.head.Epoch, taken, former.Add(c.head.LeaseTail)),
+		events:       make(chan mfsched.Event, eventRoom),
+		acts:         make(chan func(), eventRoom),
+		duties:       newDuties(),
+		former:       former,
+		formerCalled: seen.head.Called,
+		again:        seen.head.Holder == o.Daemon,
+		confirmed:    taken,
+		written:      make(chan error, 1),
+		loaded:       make(chan struct{}),
+		ctx:          inner,
+		commits:      commits,
 	}
-	for _, m := range seen.head.Called {
+	// A successor of this owner has to leave the same machines alone.
+	for _, m := range s.formerCalled {
 		s.duties.called[m] = taken
-		s.formerCalled = append(s.formerCalled, m)
 	}
 	if err := s.load(); err != nil {
 		return err
@@ -116,8 +124,9 @@
 	return nil
 }
 
-// readShard reads a table's rows of the shard. It tries until the store answers: the shard is this host's until
-// another one takes it, which the next commit shows.
+// readShard reads a table's rows of the shard. It tries until the store
+// answers: the shard is this host's until another one takes it, which the next
+// commit shows.
 func (s *session) readShard(table mothferry.TableID) ([]mothferry.Row, error) {
 	for {
 		rows, _, err := mffeed.ReadAll(s.ctx, s.owner.Store, mothferry.RowRange{Table: table, Part: mfrecord.PartShard})
