--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -9,7 +9,6 @@
 	"github.com/apex/log"
 
 	"mothferry"
-	"mothferry/mfduty"
 	"mothferry/mffeed"
 	"mothferry/mfjob"
 	"mothferry/mfqueue"
