--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -37,6 +37,10 @@
 			listed[r.Task] = true
 		}
 	}
+	if len(listed) == len(e.Report.Running) {
+		// No stray run is left: what was told to stop has ended.
+		clear(w.stray)
+	}
 	for _, t := range w.pick(func(t *task) bool { return !listed[t.name] }) {
 		s.missing(w, t, e.Sent, now)
 	}
