--- a/mfsched/stuck.go
+++ b/mfsched/stuck.go
@@ -4,10 +4,11 @@
 
 // Figures for tasks that stand still.
 const (
-	// stuckFor is how long a task's percentage may stand still, beyond a tenth
-	// of its estimate: percentages are whole, so a long task changes rarely.
-	stuckFor = 1200 * time.Millisecond
-	// stuckShare is that tenth, with room for workers that are slow.
+	// stuckFor is how long a task's percentage may stand still, with stuckShare
+	// of its estimate added: percentages are whole, so a long task's changes
+	// rarely, and a slow worker's more rarely still. At a sixth of the usual speed
+	// a hundredth of a task still takes a fifth of that part.
+	stuckFor   = 1200 * time.Millisecond
 	stuckShare = 0.3
 )
 
