Count a machine for one pool only while a plan is made

Cause: supply counted a machine for the pool that it goes to and left it in the count of the pool that it leaves. The second round of one plan, which takes what pools keep only for a lull, worked out the same surplus again and took machines below the pool's reserve (TestDonorKeepsItsReserve).

Ruled out: that the second round itself is wrong; with right counts it takes only the difference between what is kept and what is needed now.

--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -64,19 +64,30 @@
 // that are left.
 func (s *State) supply(needy []mothferry.ServiceID, pools map[mothferry.ServiceID]mfpool.Pool, targets map[mothferry.ServiceID]mfpool.Target, free []mothferry.Machine, now time.Time) []mothferry.Machine {
 	for _, id := range needy {
-		p := pools[id]
-		for p.Machines < targets[id].Now && len(free) > 0 {
+		for pools[id].Machines < targets[id].Now && len(free) > 0 {
 			if free[0].Pool != id {
 				s.send(free[0], id, now)
-				p.Machines++
+				transfer(pools, free[0].Pool, id)
 			}
 			free = free[1:]
 		}
-		pools[id] = p
 	}
 	return free
 }
 
+// transfer counts a machine for the pool that it goes to. It no longer counts for
+// the one that it leaves: a second round of the same plan would otherwise take
+// what that pool can spare once more, down to below its reserve.
+func transfer(pools map[mothferry.ServiceID]mfpool.Pool, from, to mothferry.ServiceID) {
+	if p, counted := pools[from]; counted {
+		p.Machines--
+		pools[from] = p
+	}
+	p := pools[to]
+	p.Machines++
+	pools[to] = p
+}
+
 func (s *State) send(m mothferry.Machine, pool mothferry.ServiceID, now time.Time) {
 	s.errands[m.Machine] = &errand{call: Call{Kind: KindMove, Machine: m.Machine, Pool: pool}, worker: m.Worker, since: now}
 }
