Replace machines of a wave, and move lasting tasks only where there is room

The pool's other machines were to be emptied too, so that one usable worker was left, and a full one. Machines that are emptied for upkeep, in upkeep or down counted as machines of their pool, so that none came in their place; and a task was moved away without a look whether there is room elsewhere.

Machines count for a pool if they are up and answer, or are on their way to it. A lasting task is stopped for a move only if usable workers have room for it and for all lasting tasks that are on their way already.

--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -115,15 +115,15 @@
 	for _, m := range f.Machines {
 		cores = max(cores, float64(m.Capacity.Cores)/1000)
 		id := m.Pool
-		if e, ok := s.errands[m.Machine]; ok && e.call.Kind == KindMove {
+		e := s.errands[m.Machine]
+		if e != nil && e.call.Kind == KindMove {
 			id = e.call.Pool
 		}
 		if f.Standby[id] {
 			continue
 		}
 		p := pools[id]
-		if !f.Loads[m.Worker].Failing {
-			// One that does not answer is of no use for now: others take its place.
+		if f.counts(m, e) {
 			p.Machines++
 		}
 		pools[id] = p
@@ -136,6 +136,20 @@
 	return pools
 }
 
+// counts reports whether a machine is of use to its pool now or as soon as it has
+// moved. One that is down, does not answer, or is emptied for its upkeep is not:
+// others take its place, as what runs there has to go somewhere.
+func (f Fleet) counts(m mothferry.Machine, e *errand) bool {
+	switch {
+	case e != nil && e.call.Kind == KindUpkeep:
+		return false
+	case m.State == mothferry.MachineUp:
+		return !f.Loads[m.Worker].Failing
+	default:
+		return m.State == mothferry.MachineMoving
+	}
+}
+
 // freeMachines returns machines that their pool can spare, standby first. Only
 // machines without any task are taken, so that a move ends nothing.
 func (s *State) freeMachines(f Fleet, pools map[mothferry.ServiceID]mfpool.Pool, keep func(mothferry.ServiceID) int) []mothferry.Machine {
--- a/mfduty/move_test.go
+++ b/mfduty/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -84,3 +85,31 @@
 	const reserve = 6
 	assert.Assert(t, len(s.Plan(f, start)) <= len(f.Machines)-reserve)
 }
+
+// Symptom: in a wave a pool had one machine to place tasks on, and lasting tasks
+// of the others waited for many seconds.
+// Events: most of a small pool's machines are emptied for their upkeep at once.
+// Cause: they counted as machines of the pool, so that none came in their place.
+func TestMachinesOfAWaveAreReplaced(t *testing.T) {
+	s := mfduty.New()
+	f := mfduty.Fleet{
+		Standby: map[mothferry.ServiceID]bool{"off": true}, Loads: map[mothferry.WorkerID]mfsched.Load{},
+		Demands: map[mothferry.ServiceID]mfsched.Demand{"a": {Widest: 3}},
+	}
+	for i := range 6 {
+		m := up(mothferry.MachineID(fmt.Sprintf("m-%d", i)), mothferry.WorkerID(fmt.Sprintf("w-%d", i)))
+		m.Pool, m.Capacity = "a", mothferry.Resources{Cores: 16000}
+		if i >= 3 {
+			m.Pool = "off"
+		}
+		f.Machines = append(f.Machines, m)
+		f.Loads[m.Worker] = mfsched.Load{Known: true, Service: m.Pool, Tasks: 1, Lasting: 1}
+	}
+	s.Ask(wave(2, "m-0", "m-1"), start)
+	s.Plan(f, start)
+	to := map[mothferry.ServiceID]int{}
+	for _, c := range s.Plan(f, start.Add(200*time.Millisecond)) {
+		to[c.Pool]++
+	}
+	assert.Equal(t, to["a"], 2, "%v", to)
+}
--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -1,16 +1,21 @@
 package mfsched
 
-import "time"
+import (
+	"time"
 
-// evacuate moves lasting tasks away from workers that are leaving or drain,
-// as many at a time as their steps may miss.
+	"mothferry"
+)
+
+// evacuate moves lasting tasks away from workers that are leaving or drain, as
+// many at a time as their steps may miss, and only where there is room for them:
+// a task that waits is of less use than one that stays until its worker ends.
 func (s *State) evacuate(now time.Time) {
 	for _, w := range s.roster {
 		if !s.leaving[w.at.Worker] && !w.Draining || w.failing {
 			continue
 		}
 		for _, t := range w.pick(func(t *task) bool { return t.step.of.Lasting && t.phase == phaseRunning }) {
-			if s.mayStop(t, now) {
+			if s.mayStop(t, now) && s.roomElsewhere(t, now) {
 				s.emit(Decision{Message: "task is moved away", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{"step": t.name.Step, "index": t.name.Index, "run": t.run}})
 				s.stop(t, now)
 			}
@@ -45,3 +50,51 @@
 	}
 	return count
 }
+
+// roomElsewhere reports whether the usable workers of a task's service have room
+// for it and for all lasting tasks that are on their way already, taken to be as
+// large as it is.
+func (s *State) roomElsewhere(t *task, now time.Time) bool {
+	service := s.queueOf(t.job).Service
+	need := 1 + s.lastingOnTheirWay(service)
+	for _, w := range s.usable(service, now) {
+		need -= s.roomFor(t, w, need)
+		if need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lastingOnTheirWay counts a service's lasting tasks that wait or are stopped.
+func (s *State) lastingOnTheirWay(service mothferry.ServiceID) int {
+	count := 0
+	for _, j := range s.live {
+		if !j.submission.Lasts() || s.queueOf(j).Service != service {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, p := range o.steps {
+				for _, t := range p.tasks {
+					if t.phase == phaseWaiting || t.phase == phaseStopping {
+						count++
+					}
+				}
+			}
+		}
+	}
+	return count
+}
+
+// roomFor returns for how many tasks like t a worker has room, at most some.
+func (s *State) roomFor(t *task, w *worker, most int) int {
+	most = min(most, perWorker(t.step.of.PerWorker)-s.stepTasksOn(t.step, w))
+	count := 0
+	for used := w.used; count < most; count++ {
+		if !suits(t, w, used) {
+			break
+		}
+		used = used.Add(room(t.step.of))
+	}
+	return count
+}
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -159,12 +159,16 @@
 	return bound
 }
 
-func (s *State) fits(t *task, w *worker) bool {
+func (s *State) fits(t *task, w *worker) bool { return suits(t, w, w.used) }
+
+// suits reports whether a worker may run a task and has room for it if so much of
+// its capacity is used.
+func suits(t *task, w *worker, used mothferry.Resources) bool {
 	of := t.step.of
 	if of.Label != "" && !slices.Contains(w.Labels, of.Label) {
 		return false
 	}
-	return room(of).Fits(w.Capacity.Sub(w.used))
+	return room(of).Fits(w.Capacity.Sub(used))
 }
 
 // stepTasksOn counts tasks of a step on a worker.
