Leave machines alone after a takeover by the age of the former owner's calls

Cause: after a takeover in the middle of a turn no machine moved for 2.8 s. The head named the machines asked for in the last six seconds, which as a turn begins are most of the fleet, and not when; a successor left all of them alone until 4.3 s after the former owner's last commit. The pause has to be three seconds between two hosts' calls for one machine; most calls were older.

The head now says how long before its commit each machine was asked for, negative for calls that may still go out after it (format 2; format 1 is read, with age 0). A call is given up after 0.9 s, which the pause contains, and calls are not sent if their commit took over a second: both were assumed before, not ensured.

--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -1,10 +1,10 @@
 package mfowner
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,12 +22,6 @@
 	// dutyEvery is how often machines are listed and duties planned: fast beside
 	// the two seconds that an upkeep or a move takes.
 	dutyEvery = 150 * time.Millisecond
-	// callWithin is how long after the last stored commit machines may be
-	// changed: below ownerLease, so that no other host owns the shard by then.
-	callWithin = time.Second
-	// handOverMargin is added to the pause before a machine that the former owner
-	// may have asked for is asked for again.
-	handOverMargin = 300 * time.Millisecond
 )
 
 // duties is what a session does with machines.
@@ -130,47 +124,6 @@
 	return rows
 }
 
-// mayChangeMachines reports whether this host may ask for changes of machines:
-// no other host can own the shard yet. Both the steady clock and the time of day
-// have to agree, as the steady clock stands still while a host is suspended.
-func (s *session) mayChangeMachines(now time.Time) bool {
-	steady := now.Sub(s.confirmed)
-	wall := now.Round(0).Sub(s.confirmed.Round(0))
-	return max(steady, wall) < callWithin
-}
-
-// blocked returns the machines that the former owner may have asked for lately:
-// two hosts must not take turns at one machine within MachineHandOver. Other
-// machines need not wait, so that pools follow the demand over a takeover.
-func (s *session) blocked(now time.Time) map[mothferry.MachineID]bool {
-	blocked := map[mothferry.MachineID]bool{}
-	if s.again || now.Sub(s.former) >= callWithin+s.owner.MachineHandOver+handOverMargin {
-		return blocked
-	}
-	for _, m := range s.formerCalled {
-		blocked[m] = true
-	}
-	return blocked
-}
-
-// calledFor is how long a call is kept in the head: until a successor that takes
-// over on the last commit could have waited it out.
-const calledFor = 6 * time.Second
-
-// called returns the machines that were asked for lately, for the head.
-func (s *session) called(now time.Time) []mothferry.MachineID {
-	var out []mothferry.MachineID
-	for m, at := range s.duties.called {
-		if now.Sub(at) > calledFor {
-			delete(s.duties.called, m)
-			continue
-		}
-		out = append(out, m)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // doDuties lists machines when it is time to, and plans once the list is there.
 func (s *session) doDuties(now time.Time) {
 	if now.Before(s.duties.next) || s.duties.listing {
@@ -206,16 +159,13 @@
 	}
 	calls := s.duties.state.Plan(mfduty.Fleet{
 		Machines: machines, Loads: s.state.Loads(), Demands: s.state.Demands(now), Standby: s.duties.standby,
-		Blocked: s.blocked(now),
+		Blocked: s.former.blocked(now, s.owner.handOver()),
 	}, now)
 	s.step(mfsched.WorkersLeaving{Workers: s.duties.state.Leaving()})
 	if len(calls) == 0 {
 		return
 	}
 	// The calls go out once a commit has stored that they may.
-	for _, c := range calls {
-		s.duties.called[c.Machine] = now
-	}
 	s.duties.waiting = append(s.duties.waiting, calls...)
 	s.step(mfsched.CommitWanted{})
 }
@@ -252,10 +202,12 @@
 func (s *session) callMachine(c mfduty.Call) {
 	fence := mothferry.MachineFence{Holder: s.owner.Daemon, Epoch: s.state.Epoch}
 	var err error
+	ctx, cancel := context.WithTimeout(s.ctx, callTakes)
+	defer cancel()
 	if c.Kind == mfduty.KindUpkeep {
-		err = s.owner.Machines.Upkeep(s.ctx, c.Machine, c.Wave, fence)
+		err = s.owner.Machines.Upkeep(ctx, c.Machine, c.Wave, fence)
 	} else {
-		err = s.owner.Machines.Move(s.ctx, c.Machine, c.Pool, fence)
+		err = s.owner.Machines.Move(ctx, c.Machine, c.Pool, fence)
 	}
 	s.act(func() { s.machineAnswered(c, err) })
 }
--- /dev/null
+++ b/mfowner/handover.go
@@ -0,0 +1,100 @@
+package mfowner
+
+import (
+	"time"
+
+	"mothferry"
+	"mothferry/mfduty"
+)
+
+// What it guards against: two hosts take turns at one machine. The platform
+// carries both orders out, and which of them is the newer one is then not sure.
+// A successor therefore leaves a machine alone for a while after its
+// predecessor's last call for it, which the head tells. Other machines need not
+// wait, so that pools follow the demand over a takeover.
+
+const (
+	// callWithin is how long after the last stored commit machines may be
+	// changed: below ownerLease, so that no other host owns the shard by then.
+	callWithin = time.Second
+	// callTakes bounds a call: one that has no answer by then is given up, and its
+	// connection reset, so that it does not arrive later.
+	callTakes = 900 * time.Millisecond
+	// handOverMargin is added to the pause before a machine that the former owner
+	// may have asked for is asked for again.
+	handOverMargin = 300 * time.Millisecond
+)
+
+// handOver is the pause between two hosts' calls for one machine, counted from
+// when the former one's call was sent.
+func (o *Owner) handOver() time.Duration {
+	return callTakes + o.MachineHandOver + handOverMargin
+}
+
+// formerCalls are the machines that a former owner asked for.
+type formerCalls struct {
+	// lastCommit is when its last commit was there at the latest.
+	lastCommit time.Time
+	// ago is how long before that commit each machine was asked for; it is
+	// negative for those that may have been asked for after it.
+	ago map[mothferry.MachineID]time.Duration
+}
+
+// blocked returns the machines that must be left alone for now.
+func (f formerCalls) blocked(now time.Time, pause time.Duration) map[mothferry.MachineID]bool {
+	blocked := map[mothferry.MachineID]bool{}
+	for m, ago := range f.ago {
+		if now.Before(f.lastCommit.Add(pause - ago)) {
+			blocked[m] = true
+		}
+	}
+	return blocked
+}
+
+// mayChangeMachines reports whether this host may ask for changes of machines:
+// no other host can own the shard yet. Both the steady clock and the time of day
+// have to agree, as the steady clock stands still while a host is suspended.
+func (s *session) mayChangeMachines(now time.Time) bool {
+	steady := now.Sub(s.confirmed)
+	wall := now.Round(0).Sub(s.confirmed.Round(0))
+	return max(steady, wall) < callWithin
+}
+
+// inherit takes over the former owner's calls, for a successor of this one.
+func (s *session) inherit(ago map[mothferry.MachineID]time.Duration) {
+	for m, d := range ago {
+		s.duties.called[m] = s.former.lastCommit.Add(-d)
+	}
+}
+
+// calledAgo returns how long ago machines were asked for, for the head. Calls
+// that wait for this commit may go out until callWithin after it.
+func (s *session) calledAgo(now time.Time) map[mothferry.MachineID]time.Duration {
+	for _, c := range s.duties.waiting {
+		s.duties.called[c.Machine] = now.Add(callWithin)
+	}
+	ago := map[mothferry.MachineID]time.Duration{}
+	for m, at := range s.duties.called {
+		if now.Sub(at) > s.owner.handOver() {
+			delete(s.duties.called, m)
+			continue
+		}
+		ago[m] = now.Sub(at)
+	}
+	return ago
+}
+
+// releaseCalls asks for the machines that the stored commit names. If its answer
+// came too late another host may own the shard, and nothing is asked for.
+func (s *session) releaseCalls(now time.Time) {
+	for _, c := range s.duties.releasing {
+		if !s.mayChangeMachines(now) {
+			s.owner.Log.WithField("machine", c.Machine).WithField("commit_age_ms", now.Sub(s.confirmed).Milliseconds()).Info("machine is not asked for, the commit took too long")
+			s.duties.state.Answered(c, mfduty.AnswerRefused, now)
+			continue
+		}
+		s.duties.called[c.Machine] = now
+		go s.callMachine(c)
+	}
+	s.duties.releasing = nil
+}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -38,13 +38,11 @@
 	// acts holds what other goroutines want done in the loop.
 	acts   chan func()
 	duties duties
-	// former is when the former owner's last commit was there at the latest,
-	// confirmed when the last commit of this one that is stored was sent.
-	former, confirmed time.Time
-	// again says that the former owner was an earlier life of this daemon.
-	again bool
-	// formerCalled holds the machines that the former owner may have asked for.
-	formerCalled []mothferry.MachineID
+	// former is what the former owner asked for, unless it was an earlier life of
+	// this daemon.
+	former formerCalls
+	// confirmed is when the last commit of this owner that is stored was sent.
+	confirmed time.Time
 	// sent is when the commit under way was sent.
 	sent time.Time
 	// written brings the result of the commit under way.
@@ -76,19 +74,17 @@
 		events:       make(chan mfsched.Event, eventRoom),
 		acts:         make(chan func(), eventRoom),
 		duties:       newDuties(),
-		former:       former,
-		formerCalled: seen.head.Called,
-		again:        seen.head.Holder == o.Daemon,
+		former:       formerCalls{lastCommit: former},
 		confirmed:    taken,
 		written:      make(chan error, 1),
 		loaded:       make(chan struct{}),
 		ctx:          inner,
 		commits:      commits,
 	}
-	// A successor of this owner has to leave the same machines alone.
-	for _, m := range s.formerCalled {
-		s.duties.called[m] = taken
+	if seen.head.Holder != o.Daemon {
+		s.former.ago = seen.head.Called
 	}
+	s.inherit(seen.head.Called)
 	if err := s.load(); err != nil {
 		return err
 	}
@@ -233,7 +229,7 @@
 			}
 			s.inFlight = false
 			s.confirmed = s.sent
-			s.releaseCalls()
+			s.releaseCalls(s.owner.Clock.Now())
 			s.step(mfsched.CommitDone{Number: s.number})
 		case e := <-s.events:
 			s.step(e)
@@ -338,7 +334,7 @@
 	}
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.Cores, LeaseTail: s.owner.Limits.LeaseTail()}
 	now := s.owner.Clock.Now()
-	head.Called = s.called(now)
+	head.Called = s.calledAgo(now)
 	if pending, known := s.state.Pending(); known {
 		head.Counted, head.Pending, head.Waits = true, pending, s.state.Waits(now)
 	}
@@ -358,14 +354,6 @@
 	}()
 }
 
-// releaseCalls asks for the machines that the stored commit names.
-func (s *session) releaseCalls() {
-	for _, c := range s.duties.releasing {
-		go s.callMachine(c)
-	}
-	s.duties.releasing = nil
-}
-
 func (s *session) decided(d mfsched.Decision) {
 	if s.owner.Decided != nil {
 		s.owner.Decided(d.Message)
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -86,8 +86,9 @@
 	return mothferry.JobID(id), ok
 }
 
-// headFormat is the version of the stored form of Head.
-const headFormat = 1
+// headFormat is the version of the stored form of Head. In format 1 the machines
+// asked for had no age.
+const headFormat = 2
 
 // Head is the row that names a shard's owner. Each commit of the owner checks
 // and rewrites it, so that it is a lease's renewal too, commits happen one
@@ -111,8 +112,9 @@
 	// Waits is how long work that comes now would wait in each service.
 	Waits map[mothferry.ServiceID]time.Duration
 	// Called holds the machines that this owner, or its predecessor, may have
-	// asked for changes of lately. An owner asks only once that is stored.
-	Called []mothferry.MachineID
+	// asked for changes of lately, and how long before this commit: negative for
+	// those that may still be asked for. An owner asks only once that is stored.
+	Called map[mothferry.MachineID]time.Duration
 	// Read is when this host read the row, Since when it first read this version
 	// of it; neither is stored.
 	Read, Since time.Time
@@ -128,7 +130,9 @@
 	Counted bool                          `json:"counted,omitempty"`
 	Pending map[mothferry.QueueID]int     `json:"pending,omitempty"`
 	WaitMs  map[mothferry.ServiceID]int64 `json:"wait_ms,omitempty"`
-	Called  []mothferry.MachineID         `json:"called,omitempty"`
+	// CalledMs replaced Called in format 2.
+	Called   []mothferry.MachineID         `json:"called,omitempty"`
+	CalledMs map[mothferry.MachineID]int64 `json:"called_ms,omitempty"`
 }
 
 // ErrNewerHead reports a head row of a newer program.
@@ -141,11 +145,15 @@
 func (h Head) Encode() ([]byte, error) {
 	stored := storedHead{
 		Format: headFormat, Holder: h.Holder, Epoch: h.Epoch, Cores: h.Cores,
-		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Counted: h.Counted, Pending: h.Pending, Called: h.Called, WaitMs: map[mothferry.ServiceID]int64{},
+		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Counted: h.Counted, Pending: h.Pending,
+		CalledMs: map[mothferry.MachineID]int64{}, WaitMs: map[mothferry.ServiceID]int64{},
 	}
 	for service, wait := range h.Waits {
 		stored.WaitMs[service] = wait.Milliseconds()
 	}
+	for machine, ago := range h.Called {
+		stored.CalledMs[machine] = ago.Milliseconds()
+	}
 	data, err := json.Marshal(stored)
 	return data, trace.Wrap(err)
 }
@@ -161,10 +169,17 @@
 	}
 	h := Head{
 		Holder: s.Holder, Epoch: s.Epoch, Cores: s.Cores, LeaseTail: time.Duration(s.TailMs) * time.Millisecond,
-		Token: s.Token, Counted: s.Counted, Pending: s.Pending, Called: s.Called, Waits: map[mothferry.ServiceID]time.Duration{},
+		Token: s.Token, Counted: s.Counted, Pending: s.Pending,
+		Called: map[mothferry.MachineID]time.Duration{}, Waits: map[mothferry.ServiceID]time.Duration{},
 	}
 	for service, ms := range s.WaitMs {
 		h.Waits[service] = time.Duration(ms) * time.Millisecond
 	}
+	for _, machine := range s.Called {
+		h.Called[machine] = 0
+	}
+	for machine, ms := range s.CalledMs {
+		h.Called[machine] = time.Duration(ms) * time.Millisecond
+	}
 	return h, nil
 }
--- a/mfrecord/record_test.go
+++ b/mfrecord/record_test.go
@@ -14,17 +14,25 @@
 	want := mfrecord.Head{
 		Holder: "h-1", Epoch: 7, Cores: 400, LeaseTail: 8800 * time.Millisecond, Token: "h-1/1/2",
 		Pending: map[mothferry.QueueID]int{"q": 3}, Waits: map[mothferry.ServiceID]time.Duration{"s": time.Second},
-		Called: []mothferry.MachineID{"m-1"},
+		Called: map[mothferry.MachineID]time.Duration{"m-1": 2 * time.Second},
 	}
 	data, err := want.Encode()
 	assert.NilError(t, err)
 	got, err := mfrecord.DecodeHead(data)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, want)
-	_, err = mfrecord.DecodeHead([]byte(`{"format":2}`))
+	_, err = mfrecord.DecodeHead([]byte(`{"format":3}`))
 	assert.ErrorType(t, err, &mfrecord.ErrNewerHead{})
 }
 
+// A row of the older format says which machines were asked for, not when: they
+// count as asked for just then.
+func TestOlderHeadIsRead(t *testing.T) {
+	got, err := mfrecord.DecodeHead([]byte(`{"format":1,"holder":"h-1","epoch":3,"called":["m-1"]}`))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Called, map[mothferry.MachineID]time.Duration{"m-1": 0})
+}
+
 func TestInboxPartsAreKnown(t *testing.T) {
 	known := map[mothferry.PartID]bool{}
 	for _, p := range mfrecord.InboxParts() {
