--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -68,18 +68,18 @@
 	defer cancelCommits()
 	former := seen.lastCommit(taken)
 	s := &session{
-		owner:        o,
-		chain:        c,
-		state:        mfsched.New(o.Limits, c.head.Epoch, taken, former.Add(c.head.LeaseTail)),
-		events:       make(chan mfsched.Event, eventRoom),
-		acts:         make(chan func(), eventRoom),
-		duties:       newDuties(),
-		former:       formerCalls{lastCommit: former},
-		confirmed:    taken,
-		written:      make(chan error, 1),
-		loaded:       make(chan struct{}),
-		ctx:          inner,
-		commits:      commits,
+		owner:     o,
+		chain:     c,
+		state:     mfsched.New(o.Limits, c.head.Epoch, taken, former.Add(c.head.LeaseTail)),
+		events:    make(chan mfsched.Event, eventRoom),
+		acts:      make(chan func(), eventRoom),
+		duties:    newDuties(),
+		former:    formerCalls{lastCommit: former},
+		confirmed: taken,
+		written:   make(chan error, 1),
+		loaded:    make(chan struct{}),
+		ctx:       inner,
+		commits:   commits,
 	}
 	if seen.head.Holder != o.Daemon {
 		s.former.ago = seen.head.Called
--- a/mfstandin/rows.go
+++ b/mfstandin/rows.go
@@ -73,6 +73,13 @@
 	return version, err
 }
 
+// SetBefore changes Before while the rows are in use.
+func (r *Rows) SetBefore(before func(txn mothferry.Txn) CommitFault) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Before = before
+}
+
 // Settle carries out the commits that were late.
 func (r *Rows) Settle() {
 	r.mutex.Lock()
