Send a commit again beside the first send when its answer is overdue

Cause: while the store loses answers, sound owners lost the shard: a commit whose answer is lost held all others up for the 1.6 s of a call's time-out, the head did not change meanwhile, and after 1.5 s another host took over.

A commit is sent once more when its answer is overdue (0.35 s, or three times what the last one took), while earlier sends are still waited for. As each send checks the head's version at most one takes effect, and the token tells an earlier send of the same commit from a takeover.

Tried first: giving the earlier send up.

The test hangs without the change.

--- a/mfowner/chain_test.go
+++ b/mfowner/chain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,3 +86,48 @@
 	assert.Equal(t, lost.holder, mothferry.DaemonID("h-2"))
 	assert.Equal(t, stored(t, rows), byte(2))
 }
+
+// muteStore carries the first commits out and does not answer them.
+type muteStore struct {
+	*mfstandin.Rows
+	mute atomic.Int32
+}
+
+// Commit implements mothferry.RowStore.
+func (m *muteStore) Commit(ctx context.Context, txn mothferry.Txn) (mothferry.Version, error) {
+	version, err := m.Rows.Commit(ctx, txn)
+	if m.mute.Add(-1) < 0 {
+		return version, err
+	}
+	<-ctx.Done()
+	return 0, &mothferry.ErrUnavailable{Operation: "commit", Err: ctx.Err()}
+}
+
+// Symptom: an owner that was well lost its shard whenever one answer of the store
+// was lost.
+// Events: a commit is stored and its answer lost; the owner waits 1.6 s for it, the
+// time-out of a call; the head does not change meanwhile, and after 1.5 s another
+// host takes over.
+// Cause: the commit was sent again only after the time-out of the call, though
+// sending it again early can do no harm.
+func TestLostAnswerDoesNotCostTheShard(t *testing.T) {
+	store := &muteStore{Rows: &mfstandin.Rows{}}
+	store.mute.Store(1)
+	c := &chain{store: store, clock: quick{}}
+	began := time.Now()
+	assert.NilError(t, c.write(context.Background(), mfrecord.Head{Holder: "h", Epoch: 1}, progressRow(1)))
+	assert.Assert(t, time.Since(began) < ownerLease/2, "%v", time.Since(began))
+	assert.Equal(t, stored(t, store.Rows), byte(1))
+	assert.NilError(t, c.write(context.Background(), mfrecord.Head{Holder: "h", Epoch: 1}, progressRow(2)))
+	assert.Equal(t, stored(t, store.Rows), byte(2))
+}
+
+// A store that is slow is not sent the same commit over and over: the wait for an
+// answer grows with each send, and with what the last commit took.
+func TestSlowStoreIsNotPressed(t *testing.T) {
+	c := &chain{took: 400 * time.Millisecond}
+	assert.Equal(t, c.patience(1), 1200*time.Millisecond)
+	c.took = 5 * time.Millisecond
+	assert.Equal(t, c.patience(1), firstPatience)
+	assert.Equal(t, c.patience(3), 4*firstPatience)
+}
--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -163,6 +163,8 @@
 	commits int
 	// session tells the tokens of two lives of one daemon apart.
 	session uint64
+	// took is how long the last commit took.
+	took time.Duration
 }
 
 // write rewrites the head row together with other rows of the shard. It goes
@@ -180,26 +182,100 @@
 		Checks: []mothferry.Check{{Table: mfrecord.TableOwner, Part: mfrecord.PartShard, Key: mfrecord.KeyHead, Version: c.version}},
 		Writes: append([]mothferry.Write{{Table: mfrecord.TableOwner, Part: mfrecord.PartShard, Key: mfrecord.KeyHead, Value: value}}, rows...),
 	}
-	pause := shortestPause
+	began := c.clock.Now()
+	version, err := c.send(ctx, txn)
+	var conflict *mothferry.ErrConflict
+	switch {
+	case err == nil:
+		c.head, c.version, c.took = head, version, c.clock.Now().Sub(began)
+		return nil
+	case errors.As(err, &conflict):
+		return c.settle(conflict, head)
+	default:
+		return err
+	}
+}
+
+// sent is the outcome of one send of a commit.
+type sent struct {
+	version mothferry.Version
+	err     error
+}
+
+// certain reports whether the outcome of the commit is known by it.
+func (s sent) certain() bool {
+	var conflict *mothferry.ErrConflict
+	return s.err == nil || errors.As(s.err, &conflict)
+}
+
+// send sends a commit until its outcome is known, and once more while an answer is
+// overdue. One whose answer is lost, or whose connection went silent, would
+// otherwise hold all others up for the time-out of a call, longer than ownerLease:
+// the head does not change meanwhile, and another host takes over from a sound
+// owner. Earlier sends are still waited for, as the store may only be slow.
+func (c *chain) send(ctx context.Context, txn mothferry.Txn) (mothferry.Version, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan sent, maxSends)
+	begin := func() {
+		go func() {
+			version, err := c.store.Commit(ctx, txn)
+			results <- sent{version, err}
+		}()
+	}
+	begin()
+	waiting, sends, pause := 1, 1, shortestPause
+	overdue := time.NewTimer(c.patience(sends))
+	defer overdue.Stop()
 	for {
-		version, err := c.store.Commit(ctx, txn)
-		if err == nil {
-			c.head, c.version = head, version
-			return nil
-		}
-		var conflict *mothferry.ErrConflict
-		if errors.As(err, &conflict) {
-			return c.settle(conflict, head)
-		}
 		select {
+		case r := <-results:
+			if r.certain() {
+				return r.version, r.err
+			}
+			if waiting--; waiting > 0 {
+				continue
+			}
+			select {
+			case <-ctx.Done():
+			case <-c.clock.After(pause):
+			}
+			pause = min(2*pause, longestPause)
+		case <-overdue.C:
+			if waiting == maxSends {
+				continue
+			}
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-c.clock.After(pause):
 		}
-		pause = min(2*pause, longestPause)
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+		begin()
+		waiting++
+		sends++
+		overdue.Reset(c.patience(sends))
 	}
 }
 
+// maxSends bounds how many sends of a commit wait for their answer.
+const maxSends = 3
+
+// firstPatience is after how long the answer to a commit is overdue if the store
+// is well: it takes 5 to 10 ms then.
+const firstPatience = 350 * time.Millisecond
+
+// patience is after how long the answer to a send is overdue: longer where the last
+// commit took long, and twice as long each time.
+func (c *chain) patience(sends int) time.Duration {
+	return max(firstPatience, patienceFactor*c.took) << min(sends-1, maxDoublings)
+}
+
+const (
+	// patienceFactor times what the last commit took is no reason for doubt yet.
+	patienceFactor = 3
+	maxDoublings   = 4
+)
+
 // Pauses between sends of a commit that has no answer.
 const (
 	shortestPause = 30 * time.Millisecond
