Name the runner that a request is meant for; part test runs beside each other

All stand-ins had their runners listen at 127.0.0.1, so the port of a runner that the test kills went to a runner of another test run beside it. In the product the same happens where a runner's address goes to another runner: nothing said which one is meant, and its answer was passed on as the caller's own.

Requests to runners now carry Mothferry-Runner, and a runner that is not meant refuses with other_runner, which proves that it did not run.

--- a/cmd/mothferry-standin/main.go
+++ b/cmd/mothferry-standin/main.go
@@ -46,6 +46,11 @@
 		fail(err)
 	}
 	server.Workers.StartDelay = *delay
+	// Runners listen at the stand-in's own IP number, so that deployments beside
+	// each other on one machine never get one another's ports.
+	if server.Workers.Address, _, err = net.SplitHostPort(*listen); err != nil {
+		fail(err)
+	}
 	fail(http.Serve(listener, server.Handler()))
 }
 
--- a/mfentry/attempt.go
+++ b/mfentry/attempt.go
@@ -19,6 +19,8 @@
 type upstream struct {
 	transport http.RoundTripper
 	address   string
+	// runner is the runner that the request is meant for; empty for a peer.
+	runner mothferry.TaskID
 	// peer tells that the upstream is a daemon, whose word "not run" counts.
 	peer bool
 }
@@ -127,10 +129,17 @@
 // request. A 503 without that word is the application's own answer.
 func refused(r *http.Response, u upstream) *failure {
 	f := &failure{notRun: true, reason: mothferry.ReasonRefused, result: mfroute.ResultBusy}
+	refusal := mothferry.Refusal("")
+	if r.StatusCode == http.StatusServiceUnavailable {
+		refusal = mothferry.Refusal(r.Header.Get(mothferry.HeaderRefused))
+	}
 	switch {
-	case r.StatusCode == http.StatusServiceUnavailable && mothferry.Refusal(r.Header.Get(mothferry.HeaderRefused)) == mothferry.RefusalLeaving:
+	case refusal == mothferry.RefusalLeaving:
 		f.result = mfroute.ResultLeaving
-	case r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(mothferry.HeaderRefused) != "":
+	case refusal == mothferry.RefusalOtherRunner:
+		// The runner that was meant is gone, as if no connection could be made.
+		f.result = mfroute.ResultConnectFailed
+	case refusal != "":
 	case u.peer && mothferry.End(r.Header.Get(mothferry.HeaderEnd)) == mothferry.EndNotRun:
 		f.reason = mothferry.Reason(r.Header.Get(mothferry.HeaderReason))
 	default:
@@ -155,6 +164,11 @@
 	if deadline, ok := ctx.Deadline(); ok && u.peer {
 		header.Set(mothferry.HeaderTimeout, time.Until(deadline).String())
 	}
+	if u.runner != "" {
+		// A runner's address may be another runner's by now, of any service, whose
+		// answer would be taken for the caller's own: it has to refuse.
+		header.Set(mothferry.HeaderRunner, string(u.runner))
+	}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""}
 	}
--- a/mfentry/dispatch.go
+++ b/mfentry/dispatch.go
@@ -93,7 +93,7 @@
 		h.Router.Release(q.service, lease, f.result)
 		return nil, f
 	}
-	u := upstream{transport: h.Transports.get(h.connections(lease)), address: lease.Address}
+	u := upstream{transport: h.Transports.get(h.connections(lease)), address: lease.Address, runner: lease.Task}
 	response, f := h.attempt(ctx, q, u)
 	var a *answer
 	if f == nil {
--- a/mfentry/handler_test.go
+++ b/mfentry/handler_test.go
@@ -19,6 +19,7 @@
 	"mothferry"
 	"mothferry/mffake"
 	"mothferry/mfroute"
+	"mothferry/mfstandin"
 )
 
 // TestNoSilentReplay: symptom, an order runs twice though it was sent once.
@@ -64,6 +65,24 @@
 	}
 }
 
+// Symptom: a caller of one service got the answer of another service's runner.
+// Events: a runner dies, its address goes to a runner of another service, and the
+// daemon sends it a request before it has heard of either.
+// Cause: a request did not say which runner it is meant for.
+func TestReusedAddressDoesNotAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	other := &mfstandin.Runner{Task: "another", Service: "other", Slots: 8, Connections: 64, Journal: &mfstandin.Journal{}, Listener: listener}
+	other.Start()
+	defer other.Stop(t.Context())
+	_, router, url := entry(t, listener.Addr().String())
+	response, _, err := do(t, "POST", url+"/s/order", "order", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Header.Get(mothferry.HeaderEnd), string(mothferry.EndNotRun))
+	assert.Equal(t, len(other.Journal.Runs()), 0)
+	assert.DeepEqual(t, router.results, []mfroute.Result{mfroute.ResultConnectFailed})
+}
+
 // TestUpstreamFaults cuts the exchange at each of its phases.
 func TestUpstreamFaults(t *testing.T) {
 	closed := scripted(t, func(c net.Conn) { _, _ = readRequest(bufio.NewReader(c)) })
--- /dev/null
+++ b/mffake/subnet.go
@@ -0,0 +1,29 @@
+package mffake
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+)
+
+// claimPort is the port that holds a subnet; no deployment listens there.
+const claimPort = 7399
+
+// ClaimSubnet returns the first three numbers of a loopback subnet, such as
+// "127.3.7", that belongs to this test until it ends. Test runs beside each other
+// on one machine would otherwise meet each other's ports.
+func ClaimSubnet(t testing.TB) string {
+	t.Helper()
+	const tries = 1000
+	for range tries {
+		subnet := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s.250:%d", subnet, claimPort))
+		if err == nil {
+			t.Cleanup(func() { _ = listener.Close() })
+			return subnet
+		}
+	}
+	t.Fatal("no loopback subnet is free")
+	return ""
+}
--- a/mfstandin/runner.go
+++ b/mfstandin/runner.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	faults, refusal := r.begin()
+	faults, refusal := r.begin(mothferry.TaskID(q.Header.Get(mothferry.HeaderRunner)))
 	if refusal != "" {
 		w.Header().Set(mothferry.HeaderRefused, string(refusal))
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -221,11 +221,15 @@
 	_, _ = w.Write(data)
 }
 
-// begin takes a slot or says why the request is refused.
-func (r *Runner) begin() (RunnerFaults, mothferry.Refusal) {
+// begin takes a slot for a request that is meant for a runner, or says why it is
+// refused.
+func (r *Runner) begin(meant mothferry.TaskID) (RunnerFaults, mothferry.Refusal) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	switch {
+	case meant != "" && meant != r.Task:
+		r.status.Refused++
+		return r.status.Faults, mothferry.RefusalOtherRunner
 	case r.status.Faults.Leaving:
 		r.status.Refused++
 		return r.status.Faults, mothferry.RefusalLeaving
--- a/outcome.go
+++ b/outcome.go
@@ -20,8 +20,10 @@
 	HeaderCustomer  = "Mothferry-Customer"
 	HeaderRequestID = "Mothferry-Request-Id"
 	HeaderTimeout   = "Mothferry-Timeout"
-	HeaderRunner    = "Mothferry-Runner"
-	HeaderReplayed  = "Mothferry-Replayed"
+	// HeaderRunner names the runner that a request is meant for, and on an answer
+	// the one that gave it.
+	HeaderRunner   = "Mothferry-Runner"
+	HeaderReplayed = "Mothferry-Replayed"
 	// HeaderRefused is set by an upstream that did not run the request. Its
 	// value is a Refusal. Without it, a 503 is the application's own answer.
 	HeaderRefused = "Mothferry-Refused"
@@ -38,6 +40,9 @@
 const (
 	RefusalBusy    Refusal = "busy"
 	RefusalLeaving Refusal = "leaving"
+	// RefusalOtherRunner: the request is meant for another runner, whose address
+	// this one has now.
+	RefusalOtherRunner Refusal = "other_runner"
 )
 
 // Reason says why a request ended as not run or unknown.
