Show jobs end to end in the demo

Two hosts of a fleet now run 20 jobs over stand-ins, the owner is stopped halfway, and the demo checks that all are completed and that no task ran twice. The stand-in of a worker moves from the fleet's test to mfstandin and serves both.

Ruled out: HTTP for handing in, as its wire names belong to platform/ alone; the demo speaks to the intake.

--- a/mfdemo/demo.go
+++ b/mfdemo/demo.go
@@ -56,6 +56,11 @@
 	}
 	traffic := newTraffic(deployment)
 	findings = append(findings, traffic.run(ctx)...)
+	jobs, err := d.jobs(ctx)
+	if err != nil {
+		return err
+	}
+	findings = append(findings, jobs...)
 	d.print(ctx, deployment, traffic, findings)
 	for _, f := range findings {
 		if !f.held {
--- a/mfdemo/demo_test.go
+++ b/mfdemo/demo_test.go
@@ -15,5 +15,5 @@
 	var out bytes.Buffer
 	demo := &Demo{Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Out: &out}
 	assert.NilError(t, demo.Run(t.Context()), out.String())
-	assert.Equal(t, strings.Count(out.String(), "\nheld"), 6, out.String())
+	assert.Equal(t, strings.Count(out.String(), "\nheld"), 8, out.String())
 }
--- a/mffleet/daemon_test.go
+++ b/mffleet/daemon_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -22,118 +21,6 @@
 	"mothferry/platform"
 )
 
-// workers runs tasks for a moment, and refuses what its epochs and runs forbid.
-type workers struct {
-	mutex   sync.Mutex
-	epoch   mothferry.Epoch
-	running map[mothferry.TaskName]mothferry.RunNumber
-	done    map[mothferry.TaskName]int
-	ends    []mothferry.EndedTask
-	last    mothferry.EndNumber
-	twice   []mothferry.TaskName
-}
-
-const taskTakes = 30 * time.Millisecond
-
-func (w *workers) clock() mothferry.WorkerClock {
-	return mothferry.WorkerClock(time.Since(begun) + time.Hour)
-}
-
-var begun = time.Now()
-
-func (w *workers) fenced(epoch mothferry.Epoch) error {
-	if epoch < w.epoch {
-		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalEpoch}
-	}
-	w.epoch = epoch
-	return nil
-}
-
-// Start implements mothferry.TaskWorkers.
-func (w *workers) Start(_ context.Context, _ mothferry.WorkerAddress, o mothferry.StartOrder) (mothferry.WorkerClock, error) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if err := w.fenced(o.Epoch); err != nil {
-		return 0, err
-	}
-	if _, there := w.running[o.Task]; there || w.done[o.Task] > 0 {
-		w.twice = append(w.twice, o.Task)
-	}
-	w.running[o.Task] = o.Run
-	time.AfterFunc(taskTakes, func() {
-		w.mutex.Lock()
-		defer w.mutex.Unlock()
-		w.last++
-		w.done[o.Task]++
-		delete(w.running, o.Task)
-		w.ends = append(w.ends, mothferry.EndedTask{Number: w.last, Task: o.Task, Run: o.Run, Cause: mothferry.EndDone})
-	})
-	return w.clock(), nil
-}
-
-// Stop implements mothferry.TaskWorkers.
-func (w *workers) Stop(_ context.Context, _ mothferry.WorkerAddress, _ mothferry.TaskName, _ mothferry.RunNumber, epoch mothferry.Epoch) (mothferry.WorkerClock, error) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.clock(), w.fenced(epoch)
-}
-
-// Pace implements mothferry.TaskWorkers.
-func (w *workers) Pace(context.Context, mothferry.WorkerAddress, mothferry.TaskName, mothferry.RunNumber, int, mothferry.Epoch) (mothferry.WorkerClock, error) {
-	return w.clock(), nil
-}
-
-// Look implements mothferry.TaskWorkers.
-func (w *workers) Look(_ context.Context, _ mothferry.WorkerAddress, o mothferry.LookOrder) (mothferry.LookReport, error) {
-	time.Sleep(min(o.Wait, taskTakes))
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if err := w.fenced(o.Epoch); err != nil {
-		return mothferry.LookReport{}, err
-	}
-	report := mothferry.LookReport{Clock: w.clock()}
-	for t, run := range w.running {
-		report.Running = append(report.Running, mothferry.RunningTask{Task: t, Run: run, Percent: 50})
-	}
-	for _, e := range w.ends {
-		if e.Number > o.Noted {
-			report.Ended = append(report.Ended, e)
-		}
-	}
-	return report, nil
-}
-
-// listing lists one worker.
-type listing struct{}
-
-// Run implements mfowner.WorkerSource.
-func (listing) Run(ctx context.Context, apply func(changed []mfsched.Worker, gone []mothferry.WorkerID, whole bool)) error {
-	apply([]mfsched.Worker{{
-		At:      mothferry.WorkerAddress{Worker: "w-1", Address: "127.0.0.1:1"},
-		Service: "s", Capacity: mothferry.Resources{Cores: 64000, Memory: 64 * mothferry.Gibibyte},
-	}}, nil, true)
-	<-ctx.Done()
-	return ctx.Err()
-}
-
-// machines lists the one worker's machine.
-type machines struct{}
-
-// List implements mothferry.Machines.
-func (machines) List(context.Context) ([]mothferry.Machine, error) {
-	return []mothferry.Machine{{Machine: "m-1", Pool: "s", State: mothferry.MachineUp, Worker: "w-1", Capacity: mothferry.Resources{Cores: 64000}}}, nil
-}
-
-// Move implements mothferry.Machines.
-func (machines) Move(context.Context, mothferry.MachineID, mothferry.ServiceID, mothferry.MachineFence) error {
-	return nil
-}
-
-// Upkeep implements mothferry.Machines.
-func (machines) Upkeep(context.Context, mothferry.MachineID, mothferry.WaveID, mothferry.MachineFence) error {
-	return nil
-}
-
 // host is one daemon of the test.
 type host struct {
 	callers string
@@ -149,7 +36,7 @@
 	return l.Addr().String()
 }
 
-func startHost(t *testing.T, name mothferry.DaemonID, rows *mfstandin.Rows, w *workers) host {
+func startHost(t *testing.T, name mothferry.DaemonID, rows *mfstandin.Rows, w *mfstandin.TaskWorker) host {
 	t.Helper()
 	config := &mfqueue.Config{Version: 1, Queues: []mfqueue.Queue{{
 		ID: "q", Host: "jobs.example", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2, Latency: time.Second,
@@ -164,7 +51,7 @@
 		Logs: &mflog.Logs{Output: &bytes.Buffer{}, Format: mflog.FormatJSON},
 	}
 	d.Outside = mffleet.Outside{
-		Store: rows, Workers: w, Listing: listing{}, Machines: machines{},
+		Store: rows, Workers: w, Listing: w, Machines: w,
 		Operator: func(ctx context.Context, news mffleet.News) error {
 			news.Adopt(config)
 			news.Heard()
@@ -213,7 +100,7 @@
 // completed although the owner is stopped while they run; nothing runs twice.
 func TestJobsOverAPlannedStop(t *testing.T) {
 	rows := &mfstandin.Rows{}
-	w := &workers{running: map[mothferry.TaskName]mothferry.RunNumber{}, done: map[mothferry.TaskName]int{}}
+	w := &mfstandin.TaskWorker{Service: "s", Takes: 30 * time.Millisecond, Cores: 64000, Clock: mfclock.System{}}
 	first := startHost(t, "h-1", rows, w)
 	eventually(t, "an owner", func() bool {
 		code, _ := request(t, first, http.MethodGet, "/q/", "")
@@ -249,7 +136,5 @@
 	assert.Equal(t, code, http.StatusBadRequest)
 	code, _ = request(t, second, http.MethodPost, "/other/00000000000000fe", body)
 	assert.Equal(t, code, http.StatusNotFound)
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	assert.Equal(t, len(w.twice), 0, "%v", w.twice)
+	assert.Equal(t, len(w.Twice()), 0, "%v", w.Twice())
 }
--- /dev/null
+++ b/mfstandin/taskworker.go
@@ -0,0 +1,149 @@
+package mfstandin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mothferry"
+	"mothferry/mfsched"
+)
+
+// TaskWorker is a stand-in of one worker that runs tasks of jobs, and of the
+// machine that it lives on. It refuses what epochs and run numbers forbid, and
+// notes tasks that were started though they had run. The exported fields are set
+// before use.
+type TaskWorker struct {
+	Service mothferry.ServiceID
+	// Takes is how long each task runs.
+	Takes time.Duration
+	// Cores is what the worker has.
+	Cores mothferry.Millicores
+	Clock mothferry.Clock
+
+	mutex   sync.Mutex
+	epoch   mothferry.Epoch
+	running map[mothferry.TaskName]mothferry.RunNumber
+	done    map[mothferry.TaskName]int
+	ends    []mothferry.EndedTask
+	last    mothferry.EndNumber
+	twice   []mothferry.TaskName
+}
+
+// taskWorkerID is the one life that the stand-in's worker has.
+const taskWorkerID mothferry.WorkerID = "worker-1"
+
+// Twice returns the tasks that were started though they ran, or had run.
+func (w *TaskWorker) Twice() []mothferry.TaskName {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]mothferry.TaskName{}, w.twice...)
+}
+
+// Ran returns how many tasks have ended.
+func (w *TaskWorker) Ran() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.done)
+}
+
+func (w *TaskWorker) clock() mothferry.WorkerClock {
+	return mothferry.WorkerClock(w.Clock.Now().UnixNano())
+}
+
+// fenced takes an order's epoch in; the worker is locked.
+func (w *TaskWorker) fenced(epoch mothferry.Epoch) error {
+	if epoch < w.epoch {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalEpoch}
+	}
+	w.epoch = epoch
+	return nil
+}
+
+// Start implements mothferry.TaskWorkers.
+func (w *TaskWorker) Start(_ context.Context, _ mothferry.WorkerAddress, o mothferry.StartOrder) (mothferry.WorkerClock, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if err := w.fenced(o.Epoch); err != nil {
+		return 0, err
+	}
+	if w.running == nil {
+		w.running, w.done = map[mothferry.TaskName]mothferry.RunNumber{}, map[mothferry.TaskName]int{}
+	}
+	if _, there := w.running[o.Task]; there || w.done[o.Task] > 0 {
+		w.twice = append(w.twice, o.Task)
+	}
+	w.running[o.Task] = o.Run
+	time.AfterFunc(w.Takes, func() { w.end(o.Task, o.Run) })
+	return w.clock(), nil
+}
+
+func (w *TaskWorker) end(task mothferry.TaskName, run mothferry.RunNumber) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.last++
+	w.done[task]++
+	delete(w.running, task)
+	w.ends = append(w.ends, mothferry.EndedTask{Number: w.last, Task: task, Run: run, Cause: mothferry.EndDone})
+}
+
+// Stop implements mothferry.TaskWorkers. Tasks are so short that they just end.
+func (w *TaskWorker) Stop(_ context.Context, _ mothferry.WorkerAddress, _ mothferry.TaskName, _ mothferry.RunNumber, epoch mothferry.Epoch) (mothferry.WorkerClock, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.clock(), w.fenced(epoch)
+}
+
+// Pace implements mothferry.TaskWorkers.
+func (w *TaskWorker) Pace(context.Context, mothferry.WorkerAddress, mothferry.TaskName, mothferry.RunNumber, int, mothferry.Epoch) (mothferry.WorkerClock, error) {
+	return w.clock(), nil
+}
+
+// Look implements mothferry.TaskWorkers.
+func (w *TaskWorker) Look(_ context.Context, _ mothferry.WorkerAddress, o mothferry.LookOrder) (mothferry.LookReport, error) {
+	time.Sleep(min(o.Wait, w.Takes))
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if err := w.fenced(o.Epoch); err != nil {
+		return mothferry.LookReport{}, err
+	}
+	report := mothferry.LookReport{Clock: w.clock()}
+	for t, run := range w.running {
+		report.Running = append(report.Running, mothferry.RunningTask{Task: t, Run: run, Percent: 50})
+	}
+	for _, e := range w.ends {
+		if e.Number > o.Noted {
+			report.Ended = append(report.Ended, e)
+		}
+	}
+	return report, nil
+}
+
+// Run lists the worker, as the platform's list would.
+func (w *TaskWorker) Run(ctx context.Context, apply func(changed []mfsched.Worker, gone []mothferry.WorkerID, whole bool)) error {
+	apply([]mfsched.Worker{{
+		At:      mothferry.WorkerAddress{Worker: taskWorkerID, Address: "127.0.0.1:1"},
+		Service: w.Service, Capacity: w.capacity(),
+	}}, nil, true)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (w *TaskWorker) capacity() mothferry.Resources {
+	return mothferry.Resources{Cores: w.Cores, Memory: 64 * mothferry.Gibibyte}
+}
+
+// List implements mothferry.Machines.
+func (w *TaskWorker) List(context.Context) ([]mothferry.Machine, error) {
+	return []mothferry.Machine{{Machine: "machine-1", Pool: w.Service, State: mothferry.MachineUp, Worker: taskWorkerID, Capacity: w.capacity()}}, nil
+}
+
+// Move implements mothferry.Machines; the one machine stays.
+func (w *TaskWorker) Move(context.Context, mothferry.MachineID, mothferry.ServiceID, mothferry.MachineFence) error {
+	return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalMachineBusy}
+}
+
+// Upkeep implements mothferry.Machines; the one machine stays.
+func (w *TaskWorker) Upkeep(context.Context, mothferry.MachineID, mothferry.WaveID, mothferry.MachineFence) error {
+	return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalMachineBusy}
+}
