Show operators who owns the jobs and what waits: mothferry shard

The command reads the owner's row and the waves from the store that a daemon's settings name, as text or JSON, and changes nothing.

Ruled out: asking a daemon for it: each knows only what it read last, and one that is cut off would tell old news.

Reading a wave's row stands in one place.

--- a/mfcommand/command.go
+++ b/mfcommand/command.go
@@ -73,6 +73,7 @@
 		fleetCommand(),
 		playCommand(),
 		explainCommand(),
+		shardCommand(),
 		checkCommand(),
 		applyCommand(),
 		getCommand(),
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -71,27 +71,38 @@
 // restoreWaves takes in what earlier owners did.
 func (s *session) restoreWaves(rows []mothferry.Row) error {
 	for _, r := range rows {
-		number, ok := strings.CutPrefix(string(r.Key), prefixWave)
-		if !ok {
+		if !isWaveRow(r) {
 			continue
 		}
-		id, err := strconv.Atoi(number)
+		id, w, err := decodeWaveRow(r)
 		if err != nil {
-			return trace.Wrap(err)
+			return err
 		}
-		var w storedWave
-		if err := json.Unmarshal(r.Value, &w); err != nil {
-			return trace.Wrap(err)
-		}
-		if w.Format > waveFormat {
-			return &errNewerWave{format: w.Format}
-		}
-		s.duties.state.Restore(mothferry.WaveID(id), w.Begun, w.Done)
-		s.duties.stored[mothferry.WaveID(id)] = string(r.Value)
+		s.duties.state.Restore(id, w.Begun, w.Done)
+		s.duties.stored[id] = string(r.Value)
 	}
 	return nil
 }
 
+func isWaveRow(r mothferry.Row) bool { return strings.HasPrefix(string(r.Key), prefixWave) }
+
+// decodeWaveRow reads the row of a wave; it fails with errNewerWave if a newer
+// program wrote it.
+func decodeWaveRow(r mothferry.Row) (mothferry.WaveID, storedWave, error) {
+	var w storedWave
+	id, err := strconv.Atoi(strings.TrimPrefix(string(r.Key), prefixWave))
+	if err != nil {
+		return 0, w, trace.Wrap(err)
+	}
+	if err := json.Unmarshal(r.Value, &w); err != nil {
+		return 0, w, trace.Wrap(err)
+	}
+	if w.Format > waveFormat {
+		return 0, w, &errNewerWave{format: w.Format}
+	}
+	return mothferry.WaveID(id), w, nil
+}
+
 // errNewerWave reports a wave's row of a newer program.
 type errNewerWave struct{ format int }
 
--- /dev/null
+++ b/mfowner/status.go
@@ -0,0 +1,56 @@
+package mfowner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"mothferry"
+	"mothferry/mffeed"
+	"mothferry/mfrecord"
+)
+
+// Status is what the store holds of a shard, for operators.
+type Status struct {
+	// Head is the row of the shard's owner, Version the row's version; version 0
+	// means that nobody has owned the shard yet.
+	Head    mfrecord.Head
+	Version mothferry.Version
+	// Waves holds the waves of upkeep, by their numbers.
+	Waves []WaveStatus
+}
+
+// WaveStatus is what is stored of one wave.
+type WaveStatus struct {
+	Wave  mothferry.WaveID
+	Begun time.Time
+	// Done holds the machines that were taken down in it.
+	Done []mothferry.MachineID
+}
+
+// ReadStatus reads what the store holds of the shard. It changes nothing.
+func ReadStatus(ctx context.Context, store mothferry.RowStore) (Status, error) {
+	rows, _, err := mffeed.ReadAll(ctx, store, mothferry.RowRange{Table: mfrecord.TableOwner, Part: mfrecord.PartShard})
+	if err != nil {
+		return Status{}, err
+	}
+	var s Status
+	for _, r := range rows {
+		switch {
+		case r.Key == mfrecord.KeyHead:
+			s.Version = r.Version
+			if s.Head, err = mfrecord.DecodeHead(r.Value); err != nil {
+				return s, err
+			}
+		case isWaveRow(r):
+			id, w, err := decodeWaveRow(r)
+			if err != nil {
+				return s, err
+			}
+			s.Waves = append(s.Waves, WaveStatus{Wave: id, Begun: w.Begun, Done: w.Done})
+		}
+	}
+	slices.SortFunc(s.Waves, func(a, b WaveStatus) int { return cmp.Compare(a.Wave, b.Wave) })
+	return s, nil
+}
