Have a wave take what pools can spare, and keep an even pace near its deadline

Where pools were short it waited until the last moment and then took all at once too.

A wave takes as many machines as pools do not need by now and by the forecast. It takes an even part, whatever pools miss, from when that part would be six tenths of what it may have away.

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -80,7 +81,13 @@
 	askAgain = 800 * time.Millisecond
 	// roundTakes is how long a wave's machines take from the choice until they
 	// are back: they run empty, are down for two seconds, and are listed again.
-	roundTakes = 5 * time.Second
+	// By the owner's log it is 3 to 4 s.
+	roundTakes = 4 * time.Second
+	// paceMargin is left before a wave's deadline, for a takeover.
+	paceMargin = 3 * time.Second
+	// waitUntil is from which part of its largest number at a time on a wave no
+	// longer waits for pools: beyond it a delay could not be made up.
+	waitUntil = 0.6
 	// listedWithin is how soon after the answer to a call the list shows it; a
 	// machine that is still up by then was taken down earlier.
 	listedWithin = time.Second
@@ -134,9 +141,9 @@
 		listed[m.Machine] = m
 	}
 	s.settle(listed, now)
-	short := s.planMoves(f, now)
+	room := s.planMoves(f, now)
 	for _, id := range s.waves() {
-		s.planWave(s.Waves[id], listed, f, short, now)
+		room -= s.planWave(s.Waves[id], listed, f, room, now)
 	}
 	return s.due(f, listed, now)
 }
@@ -175,9 +182,11 @@
 // Deadline is when all machines of the wave should have had their upkeep.
 func (w *Wave) Deadline() time.Time { return w.Begun.Add(w.Within) }
 
-func (s *State) planWave(w *Wave, listed map[mothferry.MachineID]mothferry.Machine, f Fleet, short bool, now time.Time) {
+// planWave takes machines of a wave, as many as pools can do without, or as the
+// wave's deadline asks for. It returns how many it takes.
+func (s *State) planWave(w *Wave, listed map[mothferry.MachineID]mothferry.Machine, f Fleet, room int, now time.Time) int {
 	if w.Completed || len(w.Machines) == 0 {
-		return
+		return 0
 	}
 	var left []mothferry.Machine
 	busy, open := 0, 0
@@ -202,31 +211,40 @@
 	}
 	if open == 0 {
 		w.Completed = true
-		return
-	}
-	if short && !w.pressed(open, now) {
-		return
+		return 0
 	}
+	most := min(w.AtOnce, max(busy+max(room, 0), w.pace(open, now)))
+	taken := 0
 	slices.SortFunc(left, func(a, b mothferry.Machine) int {
 		return cmp.Or(f.Loads[a.Worker].Compare(f.Loads[b.Worker]), cmp.Compare(a.Machine, b.Machine))
 	})
 	for _, m := range left {
-		if busy >= w.AtOnce {
-			return
+		if busy >= most {
+			break
 		}
 		busy++
+		taken++
 		s.errands[m.Machine] = &errand{
 			call:   Call{Kind: KindUpkeep, Machine: m.Machine, Wave: w.Wave.Wave},
 			worker: m.Worker, since: now,
 		}
 	}
+	return taken
 }
 
-// pressed reports whether a wave has no time to wait until pools have what
-// they need: so many machines are left, in rounds of AtOnce.
-func (w *Wave) pressed(open int, now time.Time) bool {
-	rounds := (open + w.AtOnce - 1) / w.AtOnce
-	return w.Deadline().Sub(now) < time.Duration(rounds+1)*roundTakes
+// pace is how many machines of a wave must be away at a time, whatever pools
+// miss, for all that are open to be done before its deadline; 0 while that leaves
+// time to wait.
+func (w *Wave) pace(open int, now time.Time) int {
+	left := w.Deadline().Sub(now) - roundTakes - paceMargin
+	if left <= roundTakes {
+		return w.AtOnce
+	}
+	needed := float64(open) * float64(roundTakes) / float64(left)
+	if needed < waitUntil*float64(w.AtOnce) {
+		return 0
+	}
+	return int(math.Ceil(needed))
 }
 
 // due returns the calls for machines that are empty, and those that have had
--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -29,8 +29,8 @@
 
 // planMoves makes errands of machines that move: to pools that have too few,
 // from standby first and then from pools that have too many, and from those to
-// standby. It reports whether pools are short of machines.
-func (s *State) planMoves(f Fleet, now time.Time) bool {
+// standby. It returns how many machines nobody needs now, on standby or in pools.
+func (s *State) planMoves(f Fleet, now time.Time) int {
 	pools := s.pools(f)
 	targets := s.sizes.Targets(pools, now)
 	free := s.freeMachines(f, pools, func(id mothferry.ServiceID) int { return targets[id].Keep })
@@ -38,26 +38,36 @@
 	free = s.supply(needy, pools, targets, free, now)
 	// Pools that are still short take what others only keep for a lull.
 	s.supply(needy, pools, targets, s.freeMachines(f, pools, func(id mothferry.ServiceID) int { return targets[id].Now }), now)
-	short := anyShort(pools, targets)
+	room := s.room(f, pools, targets)
 	home, ok := standbyPool(f.Standby)
 	if !ok {
-		return short
+		return room
 	}
 	for _, m := range free {
 		if _, gone := s.errands[m.Machine]; !gone && !f.Standby[m.Pool] {
 			s.send(m, home, now)
 		}
 	}
-	return short
+	return room
 }
 
-func anyShort(pools map[mothferry.ServiceID]mfpool.Pool, targets map[mothferry.ServiceID]mfpool.Target) bool {
+// room counts the machines beyond what pools need; none while a pool is short. A
+// wave that takes more would be missed: in the first seconds of a turn the machines
+// on standby are those that are about to be sent.
+func (s *State) room(f Fleet, pools map[mothferry.ServiceID]mfpool.Pool, targets map[mothferry.ServiceID]mfpool.Target) int {
+	room := 0
 	for id, p := range pools {
 		if p.Machines < targets[id].Now {
-			return true
+			return 0
 		}
+		room += p.Machines - targets[id].Now
 	}
-	return false
+	for _, m := range f.Machines {
+		if _, busy := s.errands[m.Machine]; f.Standby[m.Pool] && !busy && m.State == mothferry.MachineUp {
+			room++
+		}
+	}
+	return room
 }
 
 // supply sends free machines to the pools that miss some, and returns those
