Refuse a job at once of which a task fits no machine

A job that was accepted before, or may have been, is not refused, nor is any before machines are known.

What a task takes of a worker stands in one place, mfjob.Step.Room.

--- a/mfintake/admission.go
+++ b/mfintake/admission.go
@@ -71,6 +71,30 @@
 	spreadRange = 0.6
 )
 
+// TooLarge reports whether a job has tasks that fit no machine of the fleet. It
+// would wait until it is cancelled. A job that was accepted before, or may have
+// been, is never refused.
+func (i *Intake) TooLarge(ctx context.Context, id mothferry.JobID, job mfjob.Submission) bool {
+	board := i.board()
+	if board == nil || board.Largest == (mothferry.Resources{}) {
+		return false
+	}
+	for number := range job.Steps {
+		need := job.Steps[number].Room()
+		if need.Fits(board.Largest) {
+			continue
+		}
+		if known, err := i.known(ctx, id); err != nil || known {
+			return false
+		}
+		i.Log.WithFields(log.Fields{
+			"job": id, "step": number, "needs": need, "largest": board.Largest, "owner": board.Holder, "epoch": board.Epoch, "outcome": OutcomeNotRun,
+		}).Info("job is refused, no machine is large enough")
+		return true
+	}
+	return false
+}
+
 // Refuse reports whether a job is turned away, and when it may come back. A job
 // that was accepted before, or may have been, is never refused.
 func (i *Intake) Refuse(ctx context.Context, id mothferry.JobID, queue mfqueue.Queue, job mfjob.Submission) (time.Duration, bool) {
--- a/mfintake/admission_test.go
+++ b/mfintake/admission_test.go
@@ -73,3 +73,24 @@
 	assert.Assert(t, !refused)
 	assert.Equal(t, i.Cancel(context.Background(), id), mfintake.OutcomeDone)
 }
+
+// A job of which a task fits no machine is refused at once, instead of waiting until
+// it is cancelled. One that was accepted before is not, and nothing is refused before
+// machines are known.
+func TestTooLargeJobIsRefused(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	i := newIntake(rows)
+	board := mfrecord.Head{}
+	i.Board = func() *mfrecord.Head { return &board }
+	job := submission()
+	job.Steps[0].Need = mothferry.Resources{Cores: 32000}
+	assert.Assert(t, !i.TooLarge(context.Background(), id, job))
+	board.Largest = mothferry.Resources{Cores: 16000, Memory: mothferry.Gibibyte}
+	assert.Assert(t, i.TooLarge(context.Background(), id, job))
+	assert.Assert(t, !i.TooLarge(context.Background(), id, submission()))
+	filling := job
+	filling.Steps = []mfjob.Step{{Count: 1, Need: job.Steps[0].Need, Fills: true}}
+	assert.Assert(t, !i.TooLarge(context.Background(), id, filling), "it uses what others leave")
+	assert.Equal(t, i.Accept(context.Background(), id, job), mfintake.OutcomeDone)
+	assert.Assert(t, !i.TooLarge(context.Background(), id, job))
+}
--- a/mfjob/job.go
+++ b/mfjob/job.go
@@ -60,6 +60,16 @@
 	MayMiss int `json:"may_miss,omitempty"`
 }
 
+// Room is what each task of the step takes of a worker's capacity. Tasks that fill
+// use only processor time that others leave.
+func (s *Step) Room() mothferry.Resources {
+	need := s.Need
+	if s.Fills {
+		need.Cores = 0
+	}
+	return need
+}
+
 // Submission is a job as it was handed in and accepted.
 type Submission struct {
 	Queue mothferry.QueueID `json:"queue"`
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -33,6 +33,8 @@
 	// seen holds the machines as they were listed last.
 	seen map[mothferry.MachineID]mothferry.Machine
 	next time.Time
+	// largest is the most of each resource that any machine has.
+	largest mothferry.Resources
 	// called holds when machines were asked for, waiting the calls that no commit
 	// names yet, releasing those that the commit under way names.
 	called             map[mothferry.MachineID]time.Time
@@ -161,6 +163,7 @@
 	s.owner.machinesEpisode.Succeeded("machines can be listed again")
 	now := s.owner.Clock.Now()
 	s.noteMachines(machines)
+	s.duties.largest = largestOf(machines)
 	s.step(mfsched.FleetSized{Cores: coresOf(machines)})
 	for _, id := range s.duties.lives.Over(machines, s.state.Loads(), now) {
 		s.step(mfsched.WorkerOver{Worker: id})
@@ -192,6 +195,17 @@
 	return cores
 }
 
+// largestOf returns the most of each resource that any machine has, down or not.
+func largestOf(machines []mothferry.Machine) mothferry.Resources {
+	var most mothferry.Resources
+	for _, m := range machines {
+		most.Cores = max(most.Cores, m.Capacity.Cores)
+		most.Memory = max(most.Memory, m.Capacity.Memory)
+		most.Accelerators = max(most.Accelerators, m.Capacity.Accelerators)
+	}
+	return most
+}
+
 // noteMachines logs machines whose state has changed.
 func (s *session) noteMachines(machines []mothferry.Machine) {
 	seen := map[mothferry.MachineID]mothferry.Machine{}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -335,7 +335,7 @@
 	}
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.owner.Limits.LeaseTail()}
 	now := s.owner.Clock.Now()
-	head.Called = s.calledAgo(now)
+	head.Called, head.Largest = s.calledAgo(now), s.duties.largest
 	if pending, known := s.state.Pending(); known {
 		head.Counted, head.Pending, head.Waits = true, pending, s.state.Waits(now)
 	}
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -111,6 +111,9 @@
 	Pending map[mothferry.QueueID]int
 	// Waits is how long work that comes now would wait in each service.
 	Waits map[mothferry.ServiceID]time.Duration
+	// Largest is the most of each resource that any machine has; zero while the
+	// owner has not listed machines.
+	Largest mothferry.Resources
 	// Called holds the machines that this owner, or its predecessor, may have
 	// asked for changes of lately, and how long before this commit: negative for
 	// those that may still be asked for. An owner asks only once that is stored.
@@ -130,6 +133,7 @@
 	Counted bool                          `json:"counted,omitempty"`
 	Pending map[mothferry.QueueID]int     `json:"pending,omitempty"`
 	WaitMs  map[mothferry.ServiceID]int64 `json:"wait_ms,omitempty"`
+	Largest *mothferry.Resources          `json:"largest,omitempty"`
 	// CalledMs replaced Called in format 2.
 	Called   []mothferry.MachineID         `json:"called,omitempty"`
 	CalledMs map[mothferry.MachineID]int64 `json:"called_ms,omitempty"`
@@ -151,6 +155,9 @@
 	for service, wait := range h.Waits {
 		stored.WaitMs[service] = wait.Milliseconds()
 	}
+	if h.Largest != (mothferry.Resources{}) {
+		stored.Largest = &h.Largest
+	}
 	for machine, ago := range h.Called {
 		stored.CalledMs[machine] = ago.Milliseconds()
 	}
@@ -175,6 +182,9 @@
 	for service, ms := range s.WaitMs {
 		h.Waits[service] = time.Duration(ms) * time.Millisecond
 	}
+	if s.Largest != nil {
+		h.Largest = *s.Largest
+	}
 	for _, machine := range s.Called {
 		h.Called[machine] = 0
 	}
--- a/mfrecord/record_test.go
+++ b/mfrecord/record_test.go
@@ -14,7 +14,7 @@
 	want := mfrecord.Head{
 		Holder: "h-1", Epoch: 7, Cores: 400, LeaseTail: 8800 * time.Millisecond, Token: "h-1/1/2",
 		Pending: map[mothferry.QueueID]int{"q": 3}, Waits: map[mothferry.ServiceID]time.Duration{"s": time.Second},
-		Called: map[mothferry.MachineID]time.Duration{"m-1": 2 * time.Second},
+		Called: map[mothferry.MachineID]time.Duration{"m-1": 2 * time.Second}, Largest: mothferry.Resources{Cores: 16000, Memory: mothferry.Gibibyte},
 	}
 	data, err := want.Encode()
 	assert.NilError(t, err)
--- a/mfsched/demand.go
+++ b/mfsched/demand.go
@@ -60,7 +60,7 @@
 }
 
 func (d *Demand) add(o *occurrence, p *step, prospect prospect) {
-	cores := float64(room(p.of).Cores) / 1000
+	cores := float64(p.of.Room().Cores) / 1000
 	switch {
 	case p.of.Lasting:
 		d.Lasting += cores * float64(p.open)
--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -94,7 +94,7 @@
 		if !suits(t, w, used) {
 			break
 		}
-		used = used.Add(room(t.step.of))
+		used = used.Add(t.step.of.Room())
 	}
 	return count
 }
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -111,7 +111,7 @@
 	}
 	t.worker, t.phase = w, p
 	w.tasks[t.name] = t
-	w.used = w.used.Add(room(t.step.of))
+	w.used = w.used.Add(t.step.of.Room())
 }
 
 // release frees a task from its worker; it waits then.
@@ -120,23 +120,13 @@
 		return
 	}
 	delete(t.worker.tasks, t.name)
-	t.worker.used = t.worker.used.Sub(room(t.step.of))
+	t.worker.used = t.worker.used.Sub(t.step.of.Room())
 	t.worker, t.phase = nil, phaseWaiting
 	t.step.waiting++
 	t.percent, t.tail, t.stopped, t.stopSent, t.confirmed = 0, 0, time.Time{}, time.Time{}, time.Time{}
 	t.pace, t.inherited = fullPace, time.Time{}
 }
 
-// room is what a step's task takes of a worker's capacity. Tasks that fill use
-// only processor time that others leave.
-func room(of *mfjob.Step) mothferry.Resources {
-	need := of.Need
-	if of.Fills {
-		need.Cores = 0
-	}
-	return need
-}
-
 func (s *State) touch(j *job) { s.dirty[j.id] = j }
 
 // cancel ends a job by its caller's wish and stops all its runs.
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -168,7 +168,7 @@
 	if of.Label != "" && !slices.Contains(w.Labels, of.Label) {
 		return false
 	}
-	return room(of).Fits(w.Capacity.Sub(used))
+	return of.Room().Fits(w.Capacity.Sub(used))
 }
 
 // stepTasksOn counts tasks of a step on a worker.
