--- a/mfjob/job.go
+++ b/mfjob/job.go
@@ -62,9 +62,9 @@
 
 // Room is what each task of the step takes of a worker's capacity. Tasks that fill
 // use only processor time that others leave.
-func (s *Step) Room() mothferry.Resources {
-	need := s.Need
-	if s.Fills {
+func (t *Step) Room() mothferry.Resources {
+	need := t.Need
+	if t.Fills {
 		need.Cores = 0
 	}
 	return need
