Let a late log line at a planned stop be dropped instead of panicking

While that was mended a real fault showed: the program closes its log when the daemon has stopped, and an answer that arrives after that made whoever logged it panic (send on a closed channel).

The log's queue stays open; lines after its end are dropped. The test's daemons log to io.Discard, which takes writes at the same time.

Ruled out: a race in the program itself, whose writer was made for that.

--- a/mffleet/daemon_test.go
+++ b/mffleet/daemon_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -48,7 +49,7 @@
 			Grace: time.Second, Cores: 400, MachineHandOver: time.Second, Limits: mfsched.UsualLimits(),
 		},
 		Clock: mfclock.System{}, Random: mfclock.SystemRandom{},
-		Logs: &mflog.Logs{Output: &bytes.Buffer{}, Format: mflog.FormatJSON},
+		Logs: &mflog.Logs{Output: io.Discard, Format: mflog.FormatJSON},
 	}
 	d.Outside = mffleet.Outside{
 		Store: rows, Workers: w, Listing: w, Machines: w,
--- a/mflog/bounded.go
+++ b/mflog/bounded.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -19,6 +20,10 @@
 	lines  chan []byte
 	// Dropped counts lines that were not written.
 	Dropped atomic.Int64
+	// closing is closed by Close. The queue itself stays open: whoever still logs
+	// would panic.
+	closing chan struct{}
+	once    sync.Once
 	done    chan struct{}
 }
 
@@ -32,7 +37,7 @@
 
 // NewBounded returns a writer that passes lines on to output.
 func NewBounded(output io.Writer) *Bounded {
-	b := &Bounded{Output: output, lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	b := &Bounded{Output: output, lines: make(chan []byte, boundedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go b.pass()
 	return b
 }
@@ -51,19 +56,35 @@
 func (b *Bounded) pass() {
 	defer close(b.done)
 	told := int64(0)
-	for line := range b.lines {
-		// A line that can't be written is lost: there is nowhere to say so.
-		_, _ = b.Output.Write(line)
-		if dropped := b.Dropped.Load(); dropped > told && len(b.lines) == 0 {
-			fmt.Fprintf(b.Output, "{\"level\":\"warn\",\"message\":\"log lines were dropped\",\"fields\":{\"part\":\"log\",\"dropped\":%d}}\n", dropped-told)
-			told = dropped
+	for {
+		select {
+		case line := <-b.lines:
+			told = b.write(line, told)
+		case <-b.closing:
+			for range len(b.lines) {
+				told = b.write(<-b.lines, told)
+			}
+			return
 		}
 	}
 }
 
+// write writes one line, and how many were dropped since that was told last. It
+// returns how many have been told of.
+func (b *Bounded) write(line []byte, told int64) int64 {
+	// A line that can't be written is lost: there is nowhere to say so.
+	_, _ = b.Output.Write(line)
+	dropped := b.Dropped.Load()
+	if dropped == told || len(b.lines) > 0 {
+		return told
+	}
+	fmt.Fprintf(b.Output, "{\"level\":\"warn\",\"message\":\"log lines were dropped\",\"fields\":{\"part\":\"log\",\"dropped\":%d}}\n", dropped-told)
+	return dropped
+}
+
 // Close writes what is left, for a short while.
 func (b *Bounded) Close() {
-	close(b.lines)
+	b.once.Do(func() { close(b.closing) })
 	select {
 	case <-b.done:
 	case <-time.After(flushWithin):
--- a/mflog/bounded_test.go
+++ b/mflog/bounded_test.go
@@ -1,6 +1,7 @@
 package mflog_test
 
 import (
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -56,3 +57,30 @@
 	}
 	t.Fatal("dropped lines are not told")
 }
+
+// Guarded against: a daemon that stops as planned ends with a panic.
+// Events: the last answers to orders arrive, and are logged, while the log is closed.
+// Cause: closing the queue of lines makes a later write panic.
+func TestWritingAfterCloseIsHarmless(t *testing.T) {
+	b := mflog.NewBounded(io.Discard)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				if _, err := b.Write([]byte("line\n")); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	}()
+	b.Close()
+	b.Close()
+	time.Sleep(10 * time.Millisecond)
+	close(stop)
+	<-done
+}
