Keep apart which owner asked for a machine when a restarted one claims again

By the kept logs front-3 asked for it and was stopped 0.75 s later; front-4 took over, was killed before it did anything, came again and claimed as the last holder's next life. A host that finds its own name as holder did not wait for any machine in the head, since its own calls need no pause; but the head also names those that it had inherited.

Ruled out: the ages (0.75 s and 1.1 s, as the lines show); a late delivery.

Figures: the new test fails with the rule that there was (the holder's name alone) and passes now.

--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -39,6 +39,8 @@
 	// names yet, releasing those that the commit under way names.
 	called             map[mothferry.MachineID]time.Time
 	waiting, releasing []mfduty.Call
+	// calledBy tells of machines that another host asked for, which.
+	calledBy map[mothferry.MachineID]mothferry.DaemonID
 	// stored is what the store holds of each wave.
 	stored map[mothferry.WaveID]string
 	// told is what the operator was told of each wave.
--- a/mfowner/handover.go
+++ b/mfowner/handover.go
@@ -5,6 +5,7 @@
 
 	"mothferry"
 	"mothferry/mfduty"
+	"mothferry/mfrecord"
 )
 
 // What it guards against: two hosts take turns at one machine. The platform
@@ -38,13 +39,27 @@
 	// ago is how long before that commit each machine was asked for; it is
 	// negative for those that may have been asked for after it.
 	ago map[mothferry.MachineID]time.Duration
+	// head tells who asked, own is this host.
+	head mfrecord.Head
+	own  mothferry.DaemonID
+}
+
+// inheritedBy returns who asked for each machine that another host asked for.
+func (f formerCalls) inheritedBy() map[mothferry.MachineID]mothferry.DaemonID {
+	others := map[mothferry.MachineID]mothferry.DaemonID{}
+	for m := range f.ago {
+		if by := f.head.AskedBy(m); by != f.own {
+			others[m] = by
+		}
+	}
+	return others
 }
 
 // blocked returns the machines that must be left alone for now.
 func (f formerCalls) blocked(now time.Time, pause time.Duration) map[mothferry.MachineID]bool {
 	blocked := map[mothferry.MachineID]bool{}
 	for m, ago := range f.ago {
-		if now.Before(f.lastCommit.Add(pause - ago)) {
+		if f.head.AskedBy(m) != f.own && now.Before(f.lastCommit.Add(pause-ago)) {
 			blocked[m] = true
 		}
 	}
@@ -61,10 +76,11 @@
 }
 
 // inherit takes over the former owner's calls, for a successor of this one.
-func (s *session) inherit(ago map[mothferry.MachineID]time.Duration) {
-	for m, d := range ago {
+func (s *session) inherit() {
+	for m, d := range s.former.ago {
 		s.duties.called[m] = s.former.lastCommit.Add(-d)
 	}
+	s.duties.calledBy = s.former.inheritedBy()
 }
 
 // calledAgo returns how long ago machines were asked for, for the head. Calls
@@ -77,6 +93,7 @@
 	for m, at := range s.duties.called {
 		if now.Sub(at) > s.owner.handOver() {
 			delete(s.duties.called, m)
+			delete(s.duties.calledBy, m)
 			continue
 		}
 		ago[m] = now.Sub(at)
@@ -94,6 +111,7 @@
 			continue
 		}
 		s.duties.called[c.Machine] = now
+		delete(s.duties.calledBy, c.Machine)
 		go s.callMachine(c)
 	}
 	s.duties.releasing = nil
--- a/mfowner/handover_test.go
+++ b/mfowner/handover_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"mothferry"
+	"mothferry/mfrecord"
 )
 
 // Symptom: after a takeover in the middle of a turn no machine moved for three
@@ -19,7 +20,7 @@
 func TestFormerCallsBlockByTheirAge(t *testing.T) {
 	last := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	o := &Owner{MachineHandOver: 3 * time.Second}
-	f := formerCalls{lastCommit: last, ago: map[mothferry.MachineID]time.Duration{"old": 3 * time.Second, "new": -time.Second}}
+	f := formerCalls{lastCommit: last, own: "h-2", head: mfrecord.Head{Holder: "h-1"}, ago: map[mothferry.MachineID]time.Duration{"old": 3 * time.Second, "new": -time.Second}}
 	taken := last.Add(1700 * time.Millisecond)
 	assert.DeepEqual(t, f.blocked(taken, o.handOver()), map[mothferry.MachineID]bool{"new": true})
 	// The new call may have been sent a second after the last commit and have
@@ -27,3 +28,25 @@
 	assert.DeepEqual(t, f.blocked(last.Add(5100*time.Millisecond), o.handOver()), map[mothferry.MachineID]bool{"new": true})
 	assert.Equal(t, len(f.blocked(last.Add(5200*time.Millisecond), o.handOver())), 0)
 }
+
+// Symptom: two hosts asked for one machine 2.2 s after one another.
+// Events: an owner asks for a machine and is stopped; its successor is killed before
+// it does anything, starts again and claims as the last holder's next life.
+// Cause: all calls that the head names were taken for its own earlier life's, also
+// those that this had inherited.
+func TestRestartedOwnerLeavesItsPredecessorsMachinesAlone(t *testing.T) {
+	last := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	o := &Owner{Daemon: "h-2", MachineHandOver: 3 * time.Second}
+	head := mfrecord.Head{
+		Holder: "h-2", Called: map[mothferry.MachineID]time.Duration{"own": time.Second, "inherited": time.Second},
+		CalledBy: map[mothferry.MachineID]mothferry.DaemonID{"inherited": "h-1"},
+	}
+	f := formerCalls{lastCommit: last, own: o.Daemon, head: head, ago: head.Called}
+	assert.DeepEqual(t, f.blocked(last.Add(time.Second), o.handOver()), map[mothferry.MachineID]bool{"inherited": true})
+	// What its successor is told: the machine stays another host's.
+	assert.DeepEqual(t, f.inheritedBy(), map[mothferry.MachineID]mothferry.DaemonID{"inherited": "h-1"})
+	// A host that gave the shard up is not told apart any more.
+	head.Holder = ""
+	f.head = head
+	assert.Equal(t, len(f.blocked(last.Add(time.Second), o.handOver())), 2)
+}
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -130,6 +130,7 @@
 		Holder: o.Daemon, Epoch: seen.head.Epoch + 1, Cores: o.cores(),
 		// Until this owner has written anew its predecessor's leases count too.
 		LeaseTail: max(o.Limits.LeaseTail(), seen.head.LeaseTail), Called: seen.head.Called,
+		CalledBy: formerCalls{ago: seen.head.Called, head: seen.head, own: o.Daemon}.inheritedBy(),
 	}, nil)
 	entry := o.Log.WithFields(log.Fields{"epoch": seen.head.Epoch + 1, "former": seen.head.Holder, "unchanged_ms": seen.read.Sub(seen.since).Milliseconds(), "millicores": o.cores()})
 	if err != nil {
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -38,8 +39,7 @@
 	// acts holds what other goroutines want done in the loop.
 	acts   chan func()
 	duties duties
-	// former is what the former owner asked for, unless it was an earlier life of
-	// this daemon.
+	// former is what former owners asked for.
 	former formerCalls
 	// confirmed is when the last commit of this owner that is stored was sent.
 	confirmed time.Time
@@ -74,17 +74,14 @@
 		events:    make(chan mfsched.Event, eventRoom),
 		acts:      make(chan func(), eventRoom),
 		duties:    newDuties(),
-		former:    formerCalls{lastCommit: former},
+		former:    formerCalls{lastCommit: former, ago: seen.head.Called, head: seen.head, own: o.Daemon},
 		confirmed: taken,
 		written:   make(chan error, 1),
 		loaded:    make(chan struct{}),
 		ctx:       inner,
 		commits:   commits,
 	}
-	if seen.head.Holder != o.Daemon {
-		s.former.ago = seen.head.Called
-	}
-	s.inherit(seen.head.Called)
+	s.inherit()
 	if err := s.load(); err != nil {
 		return err
 	}
@@ -336,6 +333,7 @@
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.owner.Limits.LeaseTail()}
 	now := s.owner.Clock.Now()
 	head.Called, head.Largest = s.calledAgo(now), s.duties.largest
+	head.CalledBy = maps.Clone(s.duties.calledBy)
 	if pending, known := s.state.Pending(); known {
 		head.Counted, head.Pending, head.Waits = true, pending, s.state.Waits(now)
 	}
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -118,6 +118,9 @@
 	// asked for changes of lately, and how long before this commit: negative for
 	// those that may still be asked for. An owner asks only once that is stored.
 	Called map[mothferry.MachineID]time.Duration
+	// CalledBy tells of the machines in Called that the holder itself did not ask
+	// for who did.
+	CalledBy map[mothferry.MachineID]mothferry.DaemonID
 	// Read is when this host read the row, Since when it first read this version
 	// of it; neither is stored.
 	Read, Since time.Time
@@ -135,8 +138,9 @@
 	WaitMs  map[mothferry.ServiceID]int64 `json:"wait_ms,omitempty"`
 	Largest *mothferry.Resources          `json:"largest,omitempty"`
 	// CalledMs replaced Called in format 2.
-	Called   []mothferry.MachineID         `json:"called,omitempty"`
-	CalledMs map[mothferry.MachineID]int64 `json:"called_ms,omitempty"`
+	Called   []mothferry.MachineID                      `json:"called,omitempty"`
+	CalledMs map[mothferry.MachineID]int64              `json:"called_ms,omitempty"`
+	CalledBy map[mothferry.MachineID]mothferry.DaemonID `json:"called_by,omitempty"`
 }
 
 // ErrNewerHead reports a head row of a newer program.
@@ -145,11 +149,20 @@
 // Error implements error.
 func (e *ErrNewerHead) Error() string { return "the shard's owner runs a newer version of the program" }
 
+// AskedBy returns who asked for a machine in Called; empty if the holder did and
+// has given the shard up since.
+func (h Head) AskedBy(machine mothferry.MachineID) mothferry.DaemonID {
+	if by, other := h.CalledBy[machine]; other {
+		return by
+	}
+	return h.Holder
+}
+
 // Encode returns the stored form.
 func (h Head) Encode() ([]byte, error) {
 	stored := storedHead{
 		Format: headFormat, Holder: h.Holder, Epoch: h.Epoch, Cores: h.Cores,
-		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Counted: h.Counted, Pending: h.Pending,
+		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Counted: h.Counted, Pending: h.Pending, CalledBy: h.CalledBy,
 		CalledMs: map[mothferry.MachineID]int64{}, WaitMs: map[mothferry.ServiceID]int64{},
 	}
 	for service, wait := range h.Waits {
@@ -176,7 +189,7 @@
 	}
 	h := Head{
 		Holder: s.Holder, Epoch: s.Epoch, Cores: s.Cores, LeaseTail: time.Duration(s.TailMs) * time.Millisecond,
-		Token: s.Token, Counted: s.Counted, Pending: s.Pending,
+		Token: s.Token, Counted: s.Counted, Pending: s.Pending, CalledBy: s.CalledBy,
 		Called: map[mothferry.MachineID]time.Duration{}, Waits: map[mothferry.ServiceID]time.Duration{},
 	}
 	for service, ms := range s.WaitMs {
