--- a/mfemulate/load_test.go
+++ b/mfemulate/load_test.go
@@ -45,8 +45,7 @@
 // On a fifth of the deployment's machines and jobs, mean of four seeds: worth in
 // time 0.79 sized by what came in the last 0.4 s, 0.85 with the forecast.
 func TestPoolsAreReadyForRisingDemand(t *testing.T) {
-	load, err := mfemulate.DecodeLoad("humps.yaml", mfexample.Humps)
-	assert.NilError(t, err)
+	load := humps(t)
 	const part = 5
 	for i := range load.Services {
 		load.Services[i].Machines /= part
@@ -63,3 +62,23 @@
 	t.Logf("worth in time %.3f", worth)
 	assert.Assert(t, worth > 0.82, "%.3f", worth)
 }
+
+func humps(t *testing.T) mfemulate.Load {
+	t.Helper()
+	load, err := mfemulate.DecodeLoad("humps.yaml", mfexample.Humps)
+	assert.NilError(t, err)
+	return load
+}
+
+// Symptom: at the height of a pool's turn jobs are late for want of machines, while
+// each of the other pools keeps two dozen machines without work.
+// Events: demand rises in one pool until it could use nearly the whole fleet;
+// standby and the other pools give what they can spare.
+// Cause: a pool kept 0.4 of an equal share of the fleet, whatever it was asked for.
+//
+// Worth in time of this play: 0.938 with that reserve, 0.962 with half of it.
+func TestTurnGetsWhatIdlePoolsHave(t *testing.T) {
+	figures := mfemulate.Play(humps(t), limits(), 1, true)
+	t.Logf("worth in time %.3f", figures.Worth)
+	assert.Assert(t, figures.Worth > 0.95, "%.3f", figures.Worth)
+}
--- a/mfpool/pool.go
+++ b/mfpool/pool.go
@@ -29,8 +29,10 @@
 	// reserve is the fewest machines that a pool keeps, as a part of an equal
 	// share of the fleet: they take the first two seconds of its turn, until
 	// others have come. It must not depend on what the pool had when an owner
-	// first saw it: after a takeover that may be its peak.
-	reserve = 0.4
+	// first saw it: after a takeover that may be its peak. What idle pools keep is
+	// missing in the one whose turn it is: with 0.4 the worth in time on the replay
+	// of humps is 0.93 in the mean of 8 plays, with 0.2 it is 0.96.
+	reserve = 0.2
 	// keepFor is how long a pool's need is remembered before it shrinks.
 	keepFor = 3 * time.Second
 )
