Send a commit again at an even pace while the store is out

The turn that had begun got its machines a second later, and leases lapsed at 35.7. Besides, the outage counted as the time that a commit takes, so that the owner would have waited nine seconds for the next lost answer.

TestSlowStoreIsNotPressed asked for waits that double; it now asks for waits that grow with what commits took, and the test of an outage bounds the sends that wait at a time, which nothing did before.

--- a/mfowner/chain.go
+++ b/mfowner/chain.go
@@ -30,7 +30,8 @@
 	commits int
 	// session tells the tokens of two lives of one daemon apart.
 	session uint64
-	// took is how long the last commit took.
+	// took is how long the send took whose answer settled the last commit. The time
+	// that a store was out is not in it: the next commit would be patient that long.
 	took time.Duration
 }
 
@@ -49,12 +50,11 @@
 		Checks: []mothferry.Check{{Table: mfrecord.TableOwner, Part: mfrecord.PartShard, Key: mfrecord.KeyHead, Version: c.version}},
 		Writes: append([]mothferry.Write{{Table: mfrecord.TableOwner, Part: mfrecord.PartShard, Key: mfrecord.KeyHead, Value: value}}, rows...),
 	}
-	began := c.clock.Now()
 	version, err := c.send(ctx, txn)
 	var conflict *mothferry.ErrConflict
 	switch {
 	case err == nil:
-		c.head, c.version, c.took = head, version, c.clock.Now().Sub(began)
+		c.head, c.version = head, version
 		return nil
 	case errors.As(err, &conflict):
 		return c.settle(conflict, head)
@@ -67,6 +67,7 @@
 type sent struct {
 	version mothferry.Version
 	err     error
+	took    time.Duration
 }
 
 // certain reports whether the outcome of the commit is known by it.
@@ -86,8 +87,9 @@
 	results := make(chan sent, maxSends)
 	begin := func() {
 		go func() {
+			began := c.clock.Now()
 			version, err := c.store.Commit(ctx, txn)
-			results <- sent{version, err}
+			results <- sent{version, err, c.clock.Now().Sub(began)}
 		}()
 	}
 	begin()
@@ -98,6 +100,7 @@
 		select {
 		case r := <-results:
 			if r.certain() {
+				c.took = r.took
 				return r.version, r.err
 			}
 			if waiting--; waiting > 0 {
@@ -110,6 +113,7 @@
 			pause = min(2*pause, longestPause)
 		case <-overdue.C:
 			if waiting == maxSends {
+				overdue.Reset(c.patience(sends))
 				continue
 			}
 		case <-ctx.Done():
@@ -124,24 +128,30 @@
 	}
 }
 
-// maxSends bounds how many sends of a commit wait for their answer.
-const maxSends = 3
+// maxSends bounds how many sends of a commit wait for their answer: with one each
+// longestPatience, as many as there are until the first one's call times out.
+const maxSends = 4
 
 // firstPatience is after how long the answer to a commit is overdue if the store
 // is well: it takes 5 to 10 ms then.
 const firstPatience = 350 * time.Millisecond
 
+// longestPatience bounds how long a store that was out is back before it is sent a
+// commit, unless commits took long before. A call that was sent into an outage is
+// given up only after 1.6 s, and what waits for the commit waits as long.
+const longestPatience = 500 * time.Millisecond
+
 // patience is after how long the answer to a send is overdue: longer where the last
-// commit took long, and twice as long each time.
+// commit took long, and longer after the first send.
 func (c *chain) patience(sends int) time.Duration {
-	return max(firstPatience, patienceFactor*c.took) << min(sends-1, maxDoublings)
+	if sends <= 1 {
+		return max(firstPatience, patienceFactor*c.took)
+	}
+	return max(longestPatience, patienceFactor*c.took)
 }
 
-const (
-	// patienceFactor times what the last commit took is no reason for doubt yet.
-	patienceFactor = 3
-	maxDoublings   = 4
-)
+// patienceFactor times what the last commit took is no reason for doubt yet.
+const patienceFactor = 3
 
 // Pauses between sends of a commit that has no answer.
 const (
