Leave a host without its store out of the balancer's rotation sooner

A host counted as ready until the feed of the operator's table had not answered for 1.8 s.

Ruled out: telling callers to come back at once: they meet hosts of the same data centre until the balancer has left these out.

--- a/mfdemo/jobs.go
+++ b/mfdemo/jobs.go
@@ -105,7 +105,6 @@
 			Store: rows, Workers: worker, Listing: worker, Machines: worker,
 			Operator: func(ctx context.Context, news mffleet.News) error {
 				news.Adopt(config)
-				news.Heard()
 				<-ctx.Done()
 				return ctx.Err()
 			},
--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -46,8 +46,6 @@
 	// Apply takes rows in: all rows of the table if whole is set, else changes.
 	// Rows may come twice.
 	Apply func(rows []mothferry.Row, whole bool)
-	// Heard is called after each answer of the store; it may be nil.
-	Heard func()
 
 	episode mflog.Episode
 }
@@ -130,9 +128,6 @@
 
 func (f *Follower) heard() {
 	f.episode.Succeeded("store answers again for table " + string(f.Table))
-	if f.Heard != nil {
-		f.Heard()
-	}
 }
 
 // readAtOnce is how many parts are read at the same time.
--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -46,8 +46,6 @@
 type News struct {
 	Adopt func(c *mfqueue.Config)
 	Wave  func(w mfsched.Wave)
-	// Heard is called after each answer of the store.
-	Heard func()
 }
 
 // Daemon is one running daemon. The exported fields are set before Run.
@@ -63,7 +61,7 @@
 	owner   *mfowner.Owner
 	log     *log.Entry
 	config  atomic.Pointer[mfqueue.Config]
-	heard   atomic.Pointer[time.Time]
+	store   *reach
 	leaving atomic.Bool
 	mutex   sync.Mutex
 	waves   map[mothferry.WaveID]mfsched.Wave
@@ -153,15 +151,16 @@
 		return 0
 	})
 	d.Registry.MustRegister(d.ended, d.calls, decisions, commits, owning)
+	d.store = &reach{RowStore: d.Outside.Store, clock: d.Clock}
 	d.owner = &mfowner.Owner{
-		Daemon: d.Settings.Daemon, Store: d.Outside.Store, Workers: d.Outside.Workers, Adviser: d.Outside.Adviser,
+		Daemon: d.Settings.Daemon, Store: d.store, Workers: d.Outside.Workers, Adviser: d.Outside.Adviser,
 		Listing: d.Outside.Listing, Config: d.Config, Limits: d.Settings.Limits, Cores: d.Settings.Cores, Clock: d.Clock, Random: d.Random,
 		Machines: d.Outside.Machines, Waves: d.waveList, TellWave: d.Outside.TellWave,
 		Decided:         func(message string) { decisions.WithLabelValues(message).Inc() },
 		Committed:       func(took time.Duration) { commits.Observe(took.Seconds()) },
 		MachineHandOver: d.Settings.MachineHandOver, Log: d.Log("owner"),
 	}
-	d.Intake = &mfintake.Intake{Store: d.Outside.Store, Clock: d.Clock, Random: d.Random, Log: d.Log("intake"), Board: d.owner.Board}
+	d.Intake = &mfintake.Intake{Store: d.store, Clock: d.Clock, Random: d.Random, Log: d.Log("intake"), Board: d.owner.Board}
 }
 
 // server starts an HTTP server at an address.
@@ -199,10 +198,6 @@
 	return d.Outside.Operator(ctx, News{
 		Adopt: func(c *mfqueue.Config) { d.config.Store(c) },
 		Wave:  d.addWave,
-		Heard: func() {
-			now := d.Clock.Now()
-			d.heard.Store(&now)
-		},
 	})
 }
 
@@ -223,15 +218,8 @@
 	return slices.Collect(maps.Values(d.waves))
 }
 
-// readyWithin is how long ago the store must have answered for this host to
-// take new connections: longer than a call that waits for changes, shorter
-// than what makes callers wait for a host that can't accept their jobs.
-const readyWithin = 1800 * time.Millisecond
-
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	heard := d.heard.Load()
-	ok := d.Config() != nil && !d.leaving.Load() && heard != nil && d.Clock.Now().Sub(*heard) < readyWithin
-	if !ok {
+	if d.Config() == nil || d.leaving.Load() || !d.store.there() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/mffleet/daemon_test.go
+++ b/mffleet/daemon_test.go
@@ -55,7 +55,6 @@
 		Store: rows, Workers: w, Listing: w, Machines: w,
 		Operator: func(ctx context.Context, news mffleet.News) error {
 			news.Adopt(config)
-			news.Heard()
 			<-ctx.Done()
 			return ctx.Err()
 		},
