Encode progress into one buffer

The stored form stays as it is, which a test of its text now holds. Encoding can't fail any more, so the unused error is gone.

--- a/mfintake/admission_test.go
+++ b/mfintake/admission_test.go
@@ -65,9 +65,8 @@
 	queue := mfqueue.Queue{ID: "q", Service: "s", Stretch: 1.6, Latency: time.Second}
 	_, refused := i.Refuse(context.Background(), id, queue, submission())
 	assert.Assert(t, refused)
-	value, err := mfjob.EncodeProgress(mfjob.Progress{State: mfjob.StateCompleted})
-	assert.NilError(t, err)
-	_, err = rows.Commit(context.Background(), mothferry.Txn{Writes: []mothferry.Write{{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: value}}})
+	value := mfjob.EncodeProgress(mfjob.Progress{State: mfjob.StateCompleted})
+	_, err := rows.Commit(context.Background(), mothferry.Txn{Writes: []mothferry.Write{{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: value}}})
 	assert.NilError(t, err)
 	_, refused = i.Refuse(context.Background(), id, queue, submission())
 	assert.Assert(t, !refused)
--- a/mfjob/fuzz_test.go
+++ b/mfjob/fuzz_test.go
@@ -16,7 +16,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := mfjob.EncodeProgress(p); err != nil {
+		if _, err := mfjob.DecodeProgress(mfjob.EncodeProgress(p)); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/mfjob/job_test.go
+++ b/mfjob/job_test.go
@@ -26,14 +26,47 @@
 			step.Tasks = append(step.Tasks, task)
 		}
 		want.Occurrences = [][]mfjob.StepProgress{{step, {Done: true}}}
-		data, err := mfjob.EncodeProgress(want)
-		assert.NilError(t, err)
-		got, err := mfjob.DecodeProgress(data)
+		got, err := mfjob.DecodeProgress(mfjob.EncodeProgress(want))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, want)
 	})
 }
 
+// running is the progress of a job of two steps whose tasks all run.
+func running() mfjob.Progress {
+	p := mfjob.Progress{State: mfjob.StateRunning}
+	for range 2 {
+		step := mfjob.StepProgress{}
+		for range 8 {
+			step.Tasks = append(step.Tasks, mfjob.TaskProgress{Run: 1, Worker: "i-c8a66fb521"})
+		}
+		p.Occurrences = append(p.Occurrences, []mfjob.StepProgress{step})
+	}
+	return p
+}
+
+// Rows of this form are in stores: their text must not change under the same version.
+func TestStoredProgressKeepsItsForm(t *testing.T) {
+	p := mfjob.Progress{State: mfjob.StateRunning, Occurrences: [][]mfjob.StepProgress{{
+		{Done: true}, {},
+		{Tasks: []mfjob.TaskProgress{{}, {Done: true, Run: 2, Failures: 1}, {Run: 1, Worker: "w-1", Checkpoint: "c\n"}}},
+	}}}
+	assert.Equal(t, string(mfjob.EncodeProgress(p)),
+		`{"format":1,"state":"running","steps":[[{"done":true},{},{"tasks":[[0],[1,2,1],[0,1,0,"w-1","c\n"]]}]]}`)
+	p.State = mfjob.StateCompleted
+	assert.Equal(t, string(mfjob.EncodeProgress(p)), `{"format":1,"state":"completed"}`)
+}
+
+// BenchmarkEncodeProgress: 13.5 µs and 94 allocations when each task was a value of
+// its own to encoding/json.
+func BenchmarkEncodeProgress(b *testing.B) {
+	p := running()
+	b.ReportAllocs()
+	for b.Loop() {
+		mfjob.EncodeProgress(p)
+	}
+}
+
 func TestNewerRowsAreRefused(t *testing.T) {
 	_, err := mfjob.DecodeProgress([]byte(`{"format":2,"state":"running"}`))
 	assert.ErrorType(t, err, &mfjob.ErrNewerFormat{})
--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -82,39 +82,49 @@
 	Tasks []json.RawMessage `json:"tasks,omitempty"`
 }
 
-// EncodeProgress returns the stored form of a job's progress.
-func EncodeProgress(p Progress) ([]byte, error) {
-	stored := storedProgress{Format: formatVersion, State: p.State}
-	if !p.State.Final() {
-		for _, o := range p.Occurrences {
-			var steps []storedStep
-			for _, s := range o {
-				steps = append(steps, encodeStep(s))
-			}
-			stored.Steps = append(stored.Steps, steps)
-		}
+// EncodeProgress returns the stored form of a job's progress. An owner encodes up to
+// 2,000 a second: each job is stored anew with each of its tasks that starts or ends.
+func EncodeProgress(p Progress) []byte {
+	b := append([]byte(`{"format":`), strconv.Itoa(formatVersion)...)
+	b = append(b, `,"state":`...)
+	b = appendText(b, string(p.State))
+	if len(p.Occurrences) > 0 && !p.State.Final() {
+		b = append(b, `,"steps":`...)
+		b = appendList(b, p.Occurrences, func(b []byte, o []StepProgress) []byte { return appendList(b, o, appendStep) })
 	}
-	data, err := json.Marshal(stored)
-	return data, trace.Wrap(err)
+	return append(b, '}')
 }
 
-func encodeStep(s StepProgress) storedStep {
-	if s.Done {
-		return storedStep{Done: true}
+// appendList appends a JSON array.
+func appendList[T any](b []byte, items []T, item func(b []byte, of T) []byte) []byte {
+	b = append(b, '[')
+	for i := range items {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = item(b, items[i])
 	}
-	var out storedStep
-	for _, t := range s.Tasks {
-		out.Tasks = append(out.Tasks, encodeTask(t))
+	return append(b, ']')
+}
+
+func appendStep(b []byte, s StepProgress) []byte {
+	switch {
+	case s.Done:
+		return append(b, `{"done":true}`...)
+	case len(s.Tasks) == 0:
+		return append(b, `{}`...)
 	}
-	return out
+	b = append(b, `{"tasks":`...)
+	b = appendList(b, s.Tasks, appendTask)
+	return append(b, '}')
 }
 
-func encodeTask(t TaskProgress) json.RawMessage {
+func appendTask(b []byte, t TaskProgress) []byte {
 	done := 0
 	if t.Done {
 		done = 1
 	}
-	b := []byte{'['}
+	b = append(b, '[')
 	b = strconv.AppendInt(b, int64(done), 10)
 	if t.Run != 0 {
 		b = append(b, ',')
@@ -133,7 +143,19 @@
 	return append(b, ']')
 }
 
+// appendText appends a JSON string. Ids are plain text, which stands for itself.
 func appendText(b []byte, s string) []byte {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
+			return appendEscaped(b, s)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
+}
+
+func appendEscaped(b []byte, s string) []byte {
 	text, err := json.Marshal(s)
 	if err != nil {
 		// A string always has a JSON form; an empty text stands in for the impossible.
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -323,12 +323,7 @@
 func (s *session) commit(c mfsched.Commit) {
 	var rows []mothferry.Write
 	for id, p := range c.Progress {
-		value, err := mfjob.EncodeProgress(p)
-		if err != nil {
-			s.owner.Log.WithError(err).WithField("job", id).Error("progress can't be stored")
-			continue
-		}
-		rows = append(rows, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: value})
+		rows = append(rows, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: mfjob.EncodeProgress(p)})
 	}
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.owner.Limits.LeaseTail()}
 	now := s.owner.Clock.Now()
