--- a/mfjob/job_test.go
+++ b/mfjob/job_test.go
@@ -48,7 +48,8 @@
 // Rows of this form are in stores: their text must not change under the same version.
 func TestStoredProgressKeepsItsForm(t *testing.T) {
 	p := mfjob.Progress{State: mfjob.StateRunning, Occurrences: [][]mfjob.StepProgress{{
-		{Done: true}, {},
+		{Done: true},
+		{},
 		{Tasks: []mfjob.TaskProgress{{}, {Done: true, Run: 2, Failures: 1}, {Run: 1, Worker: "w-1", Checkpoint: "c\n"}}},
 	}}}
 	assert.Equal(t, string(mfjob.EncodeProgress(p)),
