Empty machines with lasting tasks in time for their wave, and once

Its last twelve machines went one by one from 17 to 30 s. They were those with lasting tasks, which were begun last, and a step lets two of its 24 tasks be away at a time. There were 135 moves of lasting tasks in the wave: tasks that were moved away went to machines that the same wave emptied later.

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -188,8 +188,8 @@
 	if w.Completed || len(w.Machines) == 0 {
 		return 0
 	}
-	var left []mothferry.Machine
-	busy, open := 0, 0
+	var left, slow []mothferry.Machine
+	busy, open, slowBusy := 0, 0, 0
 	for _, id := range w.Machines {
 		m, there := listed[id]
 		if !there {
@@ -199,11 +199,17 @@
 		switch {
 		case underWay && e.call.Kind == KindUpkeep && e.call.Wave == w.Wave.Wave:
 			busy++
+			if e.phase == phaseEmptying && f.Loads[m.Worker].Lasting > 0 {
+				slowBusy++
+			}
 		case m.State == mothferry.MachineUpkeep, f.Blocked[id] && !w.Done[id]:
 			// A machine that a former owner asked for may be going down.
 			busy++
 		case !w.Done[id] && !underWay && m.State == mothferry.MachineUp:
 			left = append(left, m)
+			if f.Loads[m.Worker].Lasting > 0 {
+				slow = append(slow, m)
+			}
 		}
 		if !w.Done[id] {
 			open++
@@ -214,15 +220,26 @@
 		return 0
 	}
 	most := min(w.AtOnce, max(busy+max(room, 0), w.pace(open, now)))
+	taken := s.takeDown(w, left, f, most-busy, now)
+	// Those without lasting tasks came first: what they left room for counts too.
+	slowMost := min(w.slowPace(len(slow)+slowBusy, now)-slowBusy, w.AtOnce-busy-taken)
+	return taken + s.takeDown(w, slow, f, slowMost, now)
+}
+
+// takeDown makes errands of some machines of a wave, those first of which least is
+// lost. It returns how many it made.
+func (s *State) takeDown(w *Wave, machines []mothferry.Machine, f Fleet, most int, now time.Time) int {
 	taken := 0
-	slices.SortFunc(left, func(a, b mothferry.Machine) int {
+	slices.SortFunc(machines, func(a, b mothferry.Machine) int {
 		return cmp.Or(f.Loads[a.Worker].Compare(f.Loads[b.Worker]), cmp.Compare(a.Machine, b.Machine))
 	})
-	for _, m := range left {
-		if busy >= most {
+	for _, m := range machines {
+		if taken >= most {
 			break
 		}
-		busy++
+		if _, underWay := s.errands[m.Machine]; underWay {
+			continue
+		}
 		taken++
 		s.errands[m.Machine] = &errand{
 			call:   Call{Kind: KindUpkeep, Machine: m.Machine, Wave: w.Wave.Wave},
@@ -232,6 +249,18 @@
 	return taken
 }
 
+// slowPace is how many machines with lasting tasks must be emptied at a time for all
+// of them to be done before the wave's deadline. A step lets few of its tasks be away
+// at a time, so that these machines empty one after the other however many are free
+// to go: left to the end, some are late.
+func (w *Wave) slowPace(machines int, now time.Time) int {
+	left := w.Deadline().Sub(now) - roundTakes - paceMargin
+	if left <= emptyFor {
+		return machines
+	}
+	return int(math.Ceil(float64(machines) * float64(emptyFor) / float64(left)))
+}
+
 // pace is how many machines of a wave must be away at a time, whatever pools
 // miss, for all that are open to be done before its deadline; 0 while that leaves
 // time to wait.
@@ -315,3 +344,20 @@
 	}
 	return leaving
 }
+
+// Due returns the workers of machines that a wave has yet to take down.
+func (s *State) Due(machines []mothferry.Machine) map[mothferry.WorkerID]bool {
+	workers := map[mothferry.MachineID]mothferry.WorkerID{}
+	for _, m := range machines {
+		workers[m.Machine] = m.Worker
+	}
+	due := map[mothferry.WorkerID]bool{}
+	for _, w := range s.Waves {
+		for _, id := range w.Machines {
+			if worker := workers[id]; worker != "" && !w.Done[id] {
+				due[worker] = true
+			}
+		}
+	}
+	return due
+}
--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -114,7 +114,7 @@
 			o.step(mfsched.WorkerOver{Worker: id})
 		}
 		calls := o.duty.Plan(mfduty.Fleet{Machines: machines, Loads: o.state.Loads(), Demands: o.state.Demands(w.now), Standby: w.Standby}, w.now)
-		o.step(mfsched.WorkersLeaving{Workers: o.duty.Leaving()})
+		o.step(mfsched.WorkersLeaving{Workers: o.duty.Leaving(), Due: o.duty.Due(machines)})
 		for _, c := range calls {
 			answer := w.moveMachine(c)
 			o.duty.Answered(c, answer, w.now)
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -177,7 +177,7 @@
 		Machines: machines, Loads: s.state.Loads(), Demands: s.state.Demands(now), Standby: s.duties.standby,
 		Blocked: s.former.blocked(now, s.owner.handOver()),
 	}, now)
-	s.step(mfsched.WorkersLeaving{Workers: s.duties.state.Leaving()})
+	s.step(mfsched.WorkersLeaving{Workers: s.duties.state.Leaving(), Due: s.duties.state.Due(machines)})
 	if len(calls) == 0 {
 		return
 	}
--- a/mfsched/evacuate_test.go
+++ b/mfsched/evacuate_test.go
@@ -38,3 +38,34 @@
 	s.pass(100 * time.Millisecond)
 	assert.Equal(t, len(taken[mfsched.Stop](s)), 1)
 }
+
+// Symptom: a wave of 189 machines was done 3 s late, and lasting tasks were moved three
+// times in it: 135 moves of some 50 tasks on its machines.
+// Events: a lasting task is moved away from a machine that is to have its upkeep; it
+// goes to one whose turn in the same wave comes later.
+// Cause: nothing told machines that a wave has done with from those that it has not.
+func TestLastingTaskGoesWhereNoUpkeepIsDue(t *testing.T) {
+	s := newScript(t)
+	for _, id := range []mothferry.WorkerID{"w-1", "w-2"} {
+		s.list(id)
+		s.pass(10 * time.Millisecond)
+		s.look(id, mothferry.LookReport{})
+	}
+	s.step(mfsched.WorkersLeaving{Due: map[mothferry.WorkerID]bool{"w-1": true}})
+	job := submission(s.now, 3)
+	job.Steps[0].Lasting = true
+	s.step(mfsched.JobFound{Job: "j", Submission: job})
+	s.pass(50 * time.Millisecond)
+	for _, c := range taken[mfsched.Start](s) {
+		assert.Equal(t, c.At.Worker, mothferry.WorkerID("w-2"))
+	}
+
+	// There is no other room for what only fits where upkeep is due.
+	large := submission(s.now, 1)
+	large.Steps[0].Lasting, large.Steps[0].Need.Cores = true, 15000
+	s.step(mfsched.JobFound{Job: "k", Submission: large})
+	s.pass(50 * time.Millisecond)
+	starts := taken[mfsched.Start](s)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].At.Worker, mothferry.WorkerID("w-1"))
+}
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -142,6 +142,8 @@
 // starts there and lasting tasks are moved away.
 type WorkersLeaving struct {
 	Workers map[mothferry.WorkerID]bool
+	// Due holds the workers that a wave of upkeep has yet to empty.
+	Due map[mothferry.WorkerID]bool
 }
 
 // FleetSized tells how many cores all machines have that are not down, those on
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -197,6 +197,11 @@
 	// weightSpread keeps tasks of a lasting step apart, so that one machine's
 	// end takes few of them away.
 	weightSpread = -2.0
+	// weightDue keeps lasting tasks off workers that a wave has yet to empty: they
+	// would be moved once more, and as a step lets few of its tasks be away at a
+	// time, the wave would wait for them. It counts more than any spread over the
+	// machines of a pool, and less than a failure there.
+	weightDue = -12.0
 	// weightDisturb keeps tasks that fill away from tasks that serve.
 	weightDisturb = -3.0
 )
@@ -215,6 +220,9 @@
 	}
 	if of.Lasting {
 		score += weightSpread * float64(s.stepTasksOn(t.step, w))
+		if s.due[w.at.Worker] {
+			score += weightDue
+		}
 	}
 	if of.Fills || of.TailTarget > 0 {
 		score += weightDisturb * float64(disturbed(t, w))
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -144,6 +144,8 @@
 	// events always bring the same commands in the same order.
 	roster  []*worker
 	leaving map[mothferry.WorkerID]bool
+	// due holds workers that are to be emptied later.
+	due map[mothferry.WorkerID]bool
 	// fleetCores is what all machines have, as they were listed last.
 	fleetCores float64
 	// arrivals holds how much work came lately for each service.
@@ -214,7 +216,7 @@
 	case CommitWanted:
 		s.wanted = true
 	case WorkersLeaving:
-		s.leaving = v.Workers
+		s.leaving, s.due = v.Workers, v.Due
 	case LookAnswered:
 		s.looked(v, now)
 	case LookFailed:
