--- /dev/null
+++ b/mfduty/slow_test.go
@@ -0,0 +1,86 @@
+package mfduty_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfduty"
+	"mothferry/mfsched"
+)
+
+// Symptom: a wave of 189 machines was done 3 s after its deadline; its last twelve
+// machines went one by one.
+// Events: a wave begins while pools are short; machines without lasting tasks go
+// first. Those with lasting tasks are left to the end, and their step lets one task be
+// away at a time.
+// Cause: machines that take long to empty were begun last.
+func TestMachinesWithLastingTasksAreBegunInTime(t *testing.T) {
+	const machines, lasting = 30, 12
+	s := mfduty.New()
+	w := wave(10)
+	f := mfduty.Fleet{
+		Loads: map[mothferry.WorkerID]mfsched.Load{},
+		// The pool is short all the while, so that nothing but its pace drives the wave.
+		Demands: map[mothferry.ServiceID]mfsched.Demand{"s": {Arriving: 10000}},
+	}
+	for i := range machines {
+		m := up(mothferry.MachineID(fmt.Sprintf("m-%02d", i)), mothferry.WorkerID(fmt.Sprintf("w-%02d", i)))
+		m.Capacity = mothferry.Resources{Cores: 16000}
+		f.Machines = append(f.Machines, m)
+		load := mfsched.Load{Known: true, Service: "s"}
+		if i < lasting {
+			load.Tasks, load.Lasting = 1, 1
+		}
+		f.Loads[m.Worker] = load
+		w.Machines = append(w.Machines, m.Machine)
+	}
+	s.Ask(w, start)
+	back := map[mothferry.MachineID]time.Time{}
+	for d := time.Duration(0); d < w.Within; d += 150 * time.Millisecond {
+		now := start.Add(d)
+		returnMachines(f, back, now)
+		if d%(1500*time.Millisecond) == 0 {
+			moveOneTask(f, s.Leaving())
+		}
+		for _, c := range s.Plan(f, now) {
+			s.Answered(c, mfduty.AnswerDone, now)
+			back[c.Machine] = now.Add(2 * time.Second)
+			setDown(f, c.Machine)
+		}
+	}
+	assert.Equal(t, len(s.Waves[1].Done), machines)
+}
+
+// moveOneTask moves a lasting task away from one of the workers that are leaving.
+func moveOneTask(f mfduty.Fleet, leaving map[mothferry.WorkerID]bool) {
+	for _, m := range f.Machines {
+		if leaving[m.Worker] && f.Loads[m.Worker].Lasting > 0 {
+			f.Loads[m.Worker] = mfsched.Load{Known: true, Service: "s"}
+			return
+		}
+	}
+}
+
+func setDown(f mfduty.Fleet, id mothferry.MachineID) {
+	for i := range f.Machines {
+		if f.Machines[i].Machine == id {
+			f.Machines[i].State, f.Machines[i].Worker = mothferry.MachineUpkeep, ""
+		}
+	}
+}
+
+// returnMachines lists machines as up again whose upkeep is over, with new lives.
+func returnMachines(f mfduty.Fleet, back map[mothferry.MachineID]time.Time, now time.Time) {
+	for i := range f.Machines {
+		m := &f.Machines[i]
+		if at, away := back[m.Machine]; away && !now.Before(at) {
+			m.State, m.Worker = mothferry.MachineUp, mothferry.WorkerID(m.Machine+"-new")
+			f.Loads[m.Worker] = mfsched.Load{Known: true, Service: "s"}
+			delete(back, m.Machine)
+		}
+	}
+}
