--- a/mffleet/reach.go
+++ b/mffleet/reach.go
@@ -16,9 +16,14 @@
 // takes two looks of a second for that.
 const readyWithin = 800 * time.Millisecond
 
-// slowFactor times what the last answer took is added: a store that is slow for all
-// hosts is no reason to leave them out.
-const slowFactor = 3
+const (
+	// slowFactor times what the last answer took is added: a store that is slow for
+	// all hosts is no reason to leave them out.
+	slowFactor = 3
+	// slowMost bounds that: one call that took long must not keep a host ready that is
+	// cut off after it.
+	slowMost = time.Second
+)
 
 // reach is the store, and notes when it last answered.
 type reach struct {
@@ -63,5 +68,6 @@
 	if last == nil {
 		return false
 	}
-	return r.clock.Now().Sub(*last) < readyWithin+slowFactor*time.Duration(r.took.Load())
+	slow := min(slowFactor*time.Duration(r.took.Load()), slowMost)
+	return r.clock.Now().Sub(*last) < readyWithin+slow
 }
--- a/mffleet/reach_test.go
+++ b/mffleet/reach_test.go
@@ -81,3 +81,12 @@
 	rows.clock.Advance(300*time.Millisecond + 700*time.Millisecond)
 	assert.Assert(t, ready(d))
 }
+
+// A single slow answer keeps no host ready for long that is cut off after it.
+func TestOneSlowAnswerKeepsNoHostReady(t *testing.T) {
+	rows := &slowRows{Rows: &mfstandin.Rows{}, clock: mffake.NewClock(), takes: 1500 * time.Millisecond}
+	d, poll := polling(rows)
+	poll()
+	rows.clock.Advance(readyWithin + slowMost)
+	assert.Assert(t, !ready(d))
+}
