--- a/mfemulate/sum.go
+++ b/mfemulate/sum.go
@@ -46,7 +46,7 @@
 
 func (w *World) objective(c *caller) time.Duration {
 	q := w.Queues[c.submission.Queue]
-	return time.Duration(q.Stretch*float64(c.submission.Chain())) + q.Latency
+	return mfjob.Objective(q.Stretch, q.Latency, c.submission.Chain())
 }
 
 // count counts one job and reports whether it was in time.
@@ -60,7 +60,7 @@
 	case took <= aim:
 		f.InTime++
 		return true
-	case took <= lateFactor*aim:
+	case took <= mfjob.LateFactor*aim:
 		f.Late++
 	default:
 		f.TooLate++
@@ -68,9 +68,6 @@
 	return false
 }
 
-// lateFactor times the objective is when a job is of no use any more.
-const lateFactor = 3
-
 // work returns a job's work in core-seconds.
 func (c *caller) work() float64 {
 	sum := 0.0
--- a/mfintake/admission.go
+++ b/mfintake/admission.go
@@ -42,9 +42,6 @@
 	Again time.Duration
 }
 
-// lateFactor times its objective is when a job is of no use any more.
-const lateFactor = 3
-
 // Judge decides whether a job can still be of use if it is handed in now. Wait
 // is how long work of its service waits.
 //
@@ -54,7 +51,7 @@
 // a fraction of a second old and knows no machine that is on its way, and a
 // refusal beside free workers is the worst answer.
 func Judge(wait, chain, aim time.Duration) Verdict {
-	if wait+chain <= lateFactor*aim {
+	if wait+chain <= mfjob.LateFactor*aim {
 		return Verdict{}
 	}
 	return Verdict{Hopeless: true, Again: wait + chain - aim}
@@ -104,7 +101,7 @@
 		return 0, false
 	}
 	chain := job.Chain()
-	aim := time.Duration(queue.Stretch*float64(chain)) + queue.Latency
+	aim := mfjob.Objective(queue.Stretch, queue.Latency, chain)
 	v := Judge(board.Waits[queue.Service], chain, aim)
 	if !v.Hopeless {
 		return 0, false
--- a/mfsched/order.go
+++ b/mfsched/order.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mothferry"
+	"mothferry/mfjob"
 )
 
 // prospect is what can still become of a job.
@@ -21,9 +22,6 @@
 	prospectHopeless
 )
 
-// lateFactor times the objective is when a job stops being of use.
-const lateFactor = 3
-
 // candidate is a job with tasks that could start now.
 type candidate struct {
 	job      *job
@@ -36,11 +34,6 @@
 	steps []*step
 }
 
-// objective returns how long a job may take from its due time on.
-func objective(q Queue, chain time.Duration) time.Duration {
-	return time.Duration(q.Stretch*float64(chain)) + q.Latency
-}
-
 // weigh judges a job's prospect and slack. For a job with occurrences the
 // earliest one that is due and not done counts.
 func (s *State) weigh(j *job, o *occurrence, q Queue, now time.Time) (prospect, time.Duration) {
@@ -52,9 +45,9 @@
 		begun = o.due
 	}
 	left := j.submission.ChainFrom(func(step int) bool { return o.steps[step].open == 0 })
-	aim := objective(q, j.chain)
+	aim := mfjob.Objective(q.Stretch, q.Latency, j.chain)
 	slack := begun.Add(aim).Sub(now) - left
-	late := begun.Add(lateFactor*aim).Sub(now) - left
+	late := begun.Add(mfjob.LateFactor*aim).Sub(now) - left
 	switch {
 	case slack >= 0:
 		return prospectInTime, slack
