Store most changes of jobs in a log; decide at most each 4 ms

Jobs were also taken into commits in the order of their ids, so that some waited as long as there were too many.

A job's own row, by which callers are told, is written when it begins and ends; changes between go into the log, a row or two a commit. Old rows of the log are deleted once nothing in them is the newest of its job; long jobs are moved to their rows. Older programs refuse such a shard by the head's format.

--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -72,7 +72,7 @@
 	order    []mothferry.JobID
 	workers  map[mothferry.WorkerID]*worker
 	// begun holds the workers that ever began a task.
-	begun map[mothferry.TaskName][]*worker
+	begun    map[mothferry.TaskName][]*worker
 	machines []*machine
 	lives    int
 	// late says that an order is carried out that its worker has held back.
--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -69,12 +69,16 @@
 	State State
 	// Occurrences holds the steps of each occurrence; empty for a job that is over.
 	Occurrences [][]StepProgress
+	// After is the number of the newest segment of the shard's log that this is newer
+	// than; zero for what is in the log itself.
+	After uint64
 }
 
 type storedProgress struct {
 	Format int            `json:"format"`
 	State  State          `json:"state"`
 	Steps  [][]storedStep `json:"steps,omitempty"`
+	After  uint64         `json:"after,omitempty"`
 }
 
 type storedStep struct {
@@ -83,15 +87,19 @@
 }
 
 // EncodeProgress returns the stored form of a job's progress. An owner encodes up to
-// 2,000 a second: each job is stored anew with each of its tasks that starts or ends.
+// 4,000 a second: each job is stored anew with each of its tasks that starts or ends.
 func EncodeProgress(p Progress) []byte {
 	b := append([]byte(`{"format":`), strconv.Itoa(formatVersion)...)
 	b = append(b, `,"state":`...)
-	b = appendText(b, string(p.State))
+	b = AppendText(b, string(p.State))
 	if len(p.Occurrences) > 0 && !p.State.Final() {
 		b = append(b, `,"steps":`...)
 		b = appendList(b, p.Occurrences, func(b []byte, o []StepProgress) []byte { return appendList(b, o, appendStep) })
 	}
+	if p.After > 0 {
+		b = append(b, `,"after":`...)
+		b = strconv.AppendUint(b, p.After, 10)
+	}
 	return append(b, '}')
 }
 
@@ -134,17 +142,17 @@
 	}
 	if t.Run != 0 && (t.Worker != "" || t.Checkpoint != "") {
 		b = append(b, ',')
-		b = appendText(b, string(t.Worker))
+		b = AppendText(b, string(t.Worker))
 		if t.Checkpoint != "" {
 			b = append(b, ',')
-			b = appendText(b, string(t.Checkpoint))
+			b = AppendText(b, string(t.Checkpoint))
 		}
 	}
 	return append(b, ']')
 }
 
-// appendText appends a JSON string. Ids are plain text, which stands for itself.
-func appendText(b []byte, s string) []byte {
+// AppendText appends a JSON string. Ids are plain text, which stands for itself.
+func AppendText(b []byte, s string) []byte {
 	for i := range len(s) {
 		if s[i] < ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
 			return appendEscaped(b, s)
@@ -173,7 +181,7 @@
 	if stored.Format > formatVersion {
 		return Progress{}, &ErrNewerFormat{Version: stored.Format}
 	}
-	p := Progress{State: stored.State}
+	p := Progress{State: stored.State, After: stored.After}
 	for _, o := range stored.Steps {
 		var steps []StepProgress
 		for _, s := range o {
--- /dev/null
+++ b/mfjournal/journal.go
@@ -0,0 +1,266 @@
+// Package mfjournal lays the progress of jobs out in rows. What callers read has a row
+// for each job, written when it begins and when it is over; what only a successor needs,
+// each start and end between the two, goes into a log.
+//
+// The load it answers: a job with a dozen tasks changes some fourteen times. With a row
+// for each change the store's bound of 100 entries a transaction holds an owner to 2,700
+// changes a second, as commits follow one another: with 300 jobs a second seven thousand
+// tasks waited beside machines that were half empty. With the log a commit has a row or
+// two for all changes in it.
+package mfjournal
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfrecord"
+)
+
+// Bounds of the journal.
+const (
+	// MaxRows is the most rows that Write returns: a transaction takes 100 entries, of
+	// which the owner needs some itself.
+	MaxRows = 90
+	// MaxOwn is how many jobs with rows of their own one call of Write takes.
+	MaxOwn = 60
+	// maxSegment bounds the value of a log's row, in bytes; the store takes 65,536.
+	maxSegment = 48 << 10
+	// segments is how many rows the log may have before what is in the oldest ones is
+	// written to the jobs' own rows. A successor reads them all; with 35 commits a
+	// second that is two seconds, as long as most jobs take.
+	segments = 64
+	// moved is how many jobs' rows one commit rewrites for that.
+	moved = 12
+)
+
+// format is the version of the log's stored form.
+const format = 1
+
+// ErrNewerFormat reports a row of the log that a newer program wrote.
+type ErrNewerFormat struct{ Format int }
+
+// Error implements error.
+func (e *ErrNewerFormat) Error() string {
+	return fmt.Sprintf("a row of the log has format %d, this program reads up to %d", e.Format, format)
+}
+
+// Journal knows where the newest progress of each job is stored. The zero value is that
+// of a shard without jobs. It counts on each of its writes being stored before the next.
+type Journal struct {
+	// last is the number of the newest segment; zero for none.
+	last uint64
+	// jobs holds where the newest progress is of each job that is not over.
+	jobs map[mothferry.JobID]*entry
+	// live holds for each segment the jobs whose newest progress is in it.
+	live map[uint64]map[mothferry.JobID]*entry
+	// oldest is the number of the oldest segment that is still stored.
+	oldest uint64
+}
+
+// entry is the newest progress of one job.
+type entry struct {
+	// segment holds it; zero for the job's own row.
+	segment  uint64
+	progress mfjob.Progress
+}
+
+// Owns reports whether the progress of a job needs a row of its own: callers are told by
+// it that the job has begun, or how it ended.
+func (j *Journal) Owns(id mothferry.JobID, p mfjob.Progress) bool {
+	_, known := j.jobs[id]
+	return !known || p.State.Final()
+}
+
+// Write returns the rows that store what has changed, at most MaxRows of them if no more
+// than MaxOwn of the jobs need rows of their own.
+func (j *Journal) Write(changed map[mothferry.JobID]mfjob.Progress) []mothferry.Write {
+	if j.jobs == nil {
+		j.jobs, j.live = map[mothferry.JobID]*entry{}, map[uint64]map[mothferry.JobID]*entry{}
+	}
+	var rows []mothferry.Write
+	s := &segment{}
+	for _, id := range slices.Sorted(maps.Keys(changed)) {
+		p := changed[id]
+		own := j.Owns(id, p)
+		j.leave(id)
+		if p.State.Final() {
+			delete(j.jobs, id)
+			rows = append(rows, ownRow(id, p, 0))
+			continue
+		}
+		e := &entry{progress: p}
+		j.jobs[id] = e
+		if own {
+			rows = append(rows, ownRow(id, p, j.last))
+			continue
+		}
+		if s.full() {
+			rows = append(rows, j.add(s))
+			s = &segment{}
+		}
+		s.take(id, e)
+	}
+	if len(s.entries) > 0 {
+		rows = append(rows, j.add(s))
+	}
+	rows = append(rows, j.moveOld(changed)...)
+	return append(rows, j.deleteEmpty(MaxRows-len(rows))...)
+}
+
+// leave takes a job out of the segment that its newest progress was in.
+func (j *Journal) leave(id mothferry.JobID) {
+	if e, known := j.jobs[id]; known && e.segment != 0 {
+		delete(j.live[e.segment], id)
+	}
+}
+
+// add gives a segment its number and returns its row.
+func (j *Journal) add(s *segment) mothferry.Write {
+	j.last++
+	if j.oldest == 0 {
+		j.oldest = j.last
+	}
+	at := map[mothferry.JobID]*entry{}
+	for id, e := range s.entries {
+		e.segment = j.last
+		at[id] = e
+	}
+	j.live[j.last] = at
+	return mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(j.last), Value: s.value()}
+}
+
+// moveOld writes jobs of the oldest segments to their own rows if there are too many
+// segments.
+func (j *Journal) moveOld(changed map[mothferry.JobID]mfjob.Progress) []mothferry.Write {
+	var rows []mothferry.Write
+	for n := j.oldest; n != 0 && n+segments <= j.last && len(rows) < moved; n++ {
+		for _, id := range slices.Sorted(maps.Keys(j.live[n])) {
+			if len(rows) >= moved {
+				break
+			}
+			if _, newer := changed[id]; newer {
+				continue
+			}
+			e := j.live[n][id]
+			delete(j.live[n], id)
+			e.segment = 0
+			rows = append(rows, ownRow(id, e.progress, j.last))
+		}
+	}
+	return rows
+}
+
+// deleteEmpty deletes the oldest segments while nothing in them is the newest of its job.
+func (j *Journal) deleteEmpty(most int) []mothferry.Write {
+	var rows []mothferry.Write
+	for j.oldest != 0 && j.oldest <= j.last && len(j.live[j.oldest]) == 0 && len(rows) < most {
+		delete(j.live, j.oldest)
+		rows = append(rows, mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(j.oldest), Delete: true})
+		j.oldest++
+	}
+	return rows
+}
+
+// ownRow is the row of one job; after is the segment that it is newer than.
+func ownRow(id mothferry.JobID, p mfjob.Progress, after uint64) mothferry.Write {
+	p.After = after
+	return mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: mfjob.EncodeProgress(p)}
+}
+
+// segment is one row of the log.
+type segment struct {
+	entries map[mothferry.JobID]*entry
+	text    []byte
+}
+
+func (s *segment) full() bool { return len(s.text) >= maxSegment }
+
+func (s *segment) take(id mothferry.JobID, e *entry) {
+	if s.entries == nil {
+		s.entries = map[mothferry.JobID]*entry{}
+		s.text = append([]byte(`{"format":`), strconv.Itoa(format)...)
+		s.text = append(s.text, `,"jobs":{`...)
+	} else {
+		s.text = append(s.text, ',')
+	}
+	s.entries[id] = e
+	s.text = mfjob.AppendText(s.text, string(id))
+	s.text = append(s.text, ':')
+	s.text = append(s.text, mfjob.EncodeProgress(e.progress)...)
+}
+
+func (s *segment) value() []byte { return append(s.text, `}}`...) }
+
+// Read takes in what is stored of a shard: the rows of its jobs and of its log. It
+// returns the newest progress of each job and the journal to go on with.
+func Read(own, log []mothferry.Row) (map[mothferry.JobID]mfjob.Progress, *Journal, error) {
+	j := &Journal{jobs: map[mothferry.JobID]*entry{}, live: map[uint64]map[mothferry.JobID]*entry{}}
+	newest := map[mothferry.JobID]mfjob.Progress{}
+	after := map[mothferry.JobID]uint64{}
+	for _, r := range own {
+		p, err := mfjob.DecodeProgress(r.Value)
+		if err != nil {
+			return nil, nil, err
+		}
+		id := mothferry.JobID(r.Key)
+		newest[id], after[id] = p, p.After
+		if !p.State.Final() {
+			j.jobs[id] = &entry{progress: p}
+		}
+	}
+	log = slices.Clone(log)
+	slices.SortFunc(log, func(a, b mothferry.Row) int { return cmp.Compare(a.Key, b.Key) })
+	for _, r := range log {
+		if err := j.read(r, newest, after); err != nil {
+			return nil, nil, err
+		}
+	}
+	return newest, j, nil
+}
+
+// read takes in one row of the log; they come in order.
+func (j *Journal) read(r mothferry.Row, newest map[mothferry.JobID]mfjob.Progress, after map[mothferry.JobID]uint64) error {
+	number, err := mfrecord.LogNumber(r.Key)
+	if err != nil {
+		return err
+	}
+	var stored struct {
+		Format int                                 `json:"format"`
+		Jobs   map[mothferry.JobID]json.RawMessage `json:"jobs"`
+	}
+	if err := json.Unmarshal(r.Value, &stored); err != nil {
+		return trace.Wrap(err)
+	}
+	if stored.Format > format {
+		return &ErrNewerFormat{stored.Format}
+	}
+	j.last = number
+	if j.oldest == 0 {
+		j.oldest = number
+	}
+	j.live[number] = map[mothferry.JobID]*entry{}
+	for id, data := range stored.Jobs {
+		// A job whose row is newer, is over, or was forgotten needs nothing of the log.
+		e, open := j.jobs[id]
+		if !open || number <= after[id] {
+			continue
+		}
+		p, err := mfjob.DecodeProgress(data)
+		if err != nil {
+			return err
+		}
+		j.leave(id)
+		e.segment, e.progress = number, p
+		j.live[number][id] = e
+		newest[id] = p
+	}
+	return nil
+}
--- /dev/null
+++ b/mfjournal/journal_test.go
@@ -0,0 +1,147 @@
+package mfjournal_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfjournal"
+	"mothferry/mfrecord"
+)
+
+// store holds the rows of a shard.
+type store map[mothferry.TableID]map[mothferry.Key][]byte
+
+func newStore() store {
+	return store{mfrecord.TableProgress: {}, mfrecord.TableLog: {}}
+}
+
+func (s store) apply(t assert.TestingT, rows []mothferry.Write) {
+	for _, w := range rows {
+		assert.Assert(t, len(w.Value) <= 65536, "%d", len(w.Value))
+		if w.Delete {
+			delete(s[w.Table], w.Key)
+			continue
+		}
+		s[w.Table][w.Key] = w.Value
+	}
+}
+
+func (s store) rows(table mothferry.TableID) []mothferry.Row {
+	var rows []mothferry.Row
+	for k, v := range s[table] {
+		rows = append(rows, mothferry.Row{Table: table, Key: k, Value: v})
+	}
+	return rows
+}
+
+// read reads the shard as a successor does.
+func (s store) read(t assert.TestingT) (map[mothferry.JobID]mfjob.Progress, *mfjournal.Journal) {
+	newest, j, err := mfjournal.Read(s.rows(mfrecord.TableProgress), s.rows(mfrecord.TableLog))
+	assert.NilError(t, err)
+	for id, p := range newest {
+		p.After = 0
+		newest[id] = p
+	}
+	return newest, j
+}
+
+func progress(run, tasks int) mfjob.Progress {
+	p := mfjob.Progress{State: mfjob.StateRunning, Occurrences: [][]mfjob.StepProgress{{{}}}}
+	for range tasks {
+		p.Occurrences[0][0].Tasks = append(p.Occurrences[0][0].Tasks, mfjob.TaskProgress{Run: mothferry.RunNumber(run), Worker: "w-1"})
+	}
+	return p
+}
+
+// Symptom guarded against: a successor starts a task that runs, or one that is done.
+// Events: jobs begin, change, last, end and are forgotten, in any order; owners change.
+// What holds: a successor reads of each job what was written last, a commit never has
+// more rows than a transaction takes, and the log does not grow with time.
+func TestSuccessorReadsWhatWasWrittenLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stored, want := newStore(), map[mothferry.JobID]mfjob.Progress{}
+		j := &mfjournal.Journal{}
+		jobs := rapid.IntRange(1, 120).Draw(t, "jobs")
+		for round := range rapid.IntRange(1, 200).Draw(t, "rounds") {
+			changed := map[mothferry.JobID]mfjob.Progress{}
+			own := 0
+			for range rapid.IntRange(0, 40).Draw(t, "changes") {
+				id := mothferry.JobID(fmt.Sprintf("j-%03d", rapid.IntRange(0, jobs-1).Draw(t, "job")))
+				p := progress(round+1, rapid.IntRange(1, 40).Draw(t, "tasks"))
+				if rapid.IntRange(0, 9).Draw(t, "over") == 0 {
+					p = mfjob.Progress{State: mfjob.StateCompleted}
+				}
+				if want[id].State.Final() || own >= mfjournal.MaxOwn {
+					continue
+				}
+				if j.Owns(id, p) {
+					own++
+				}
+				changed[id] = p
+			}
+			rows := j.Write(changed)
+			assert.Assert(t, len(rows) <= mfjournal.MaxRows, "%d", len(rows))
+			stored.apply(t, rows)
+			for id, p := range changed {
+				want[id] = p
+			}
+			if rapid.IntRange(0, 9).Draw(t, "takeover") == 0 {
+				var got map[mothferry.JobID]mfjob.Progress
+				got, j = stored.read(t)
+				assert.DeepEqual(t, got, want)
+			}
+			assert.Assert(t, len(stored[mfrecord.TableLog]) <= 100, "%d", len(stored[mfrecord.TableLog]))
+		}
+		got, _ := stored.read(t)
+		assert.DeepEqual(t, got, want)
+	})
+}
+
+// The load at its worst: 400 jobs change between two commits. With a row each they took
+// five commits; they take one.
+func TestManyChangesTakeOneCommit(t *testing.T) {
+	j := &mfjournal.Journal{}
+	stored := newStore()
+	all := map[mothferry.JobID]mfjob.Progress{}
+	for i := range 400 {
+		id := mothferry.JobID(fmt.Sprintf("j-%03d", i))
+		stored.apply(t, j.Write(map[mothferry.JobID]mfjob.Progress{id: progress(1, 8)}))
+		all[id] = progress(2, 8)
+	}
+	rows := j.Write(all)
+	assert.Assert(t, len(rows) <= 8, "%d", len(rows))
+	stored.apply(t, rows)
+	got, _ := stored.read(t)
+	assert.DeepEqual(t, got, all)
+}
+
+// A job that lasts changes rarely: it is written to its own row after a while, so that
+// the log can be deleted.
+func TestOldEntriesAreMoved(t *testing.T) {
+	j := &mfjournal.Journal{}
+	stored := newStore()
+	write := func(id mothferry.JobID, run int) {
+		stored.apply(t, j.Write(map[mothferry.JobID]mfjob.Progress{id: progress(run, 2)}))
+	}
+	write("lasts", 1)
+	write("lasts", 2)
+	write("changes", 1)
+	for run := range 300 {
+		write("changes", run+2)
+	}
+	assert.Assert(t, len(stored[mfrecord.TableLog]) < 70, "%d", len(stored[mfrecord.TableLog]))
+	assert.Assert(t, strings.Contains(string(stored[mfrecord.TableProgress]["lasts"]), `"after"`))
+	got, _ := stored.read(t)
+	assert.DeepEqual(t, got["lasts"], progress(2, 2))
+}
+
+func TestNewerLogIsRefused(t *testing.T) {
+	_, _, err := mfjournal.Read(nil, []mothferry.Row{{Key: mfrecord.LogKey(1), Value: []byte(`{"format":2}`)}})
+	assert.ErrorType(t, err, &mfjournal.ErrNewerFormat{})
+}
--- /dev/null
+++ b/mfowner/load_test.go
@@ -0,0 +1,249 @@
+package mfowner
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfclock"
+	"mothferry/mfjob"
+	"mothferry/mfqueue"
+	"mothferry/mfrecord"
+	"mothferry/mfrelay"
+	"mothferry/mfsched"
+	"mothferry/mfstandin"
+)
+
+// loadWorkers stands for the workers of a large pool: what is started there ends after
+// its time, and looks wait for ends.
+type loadWorkers struct {
+	mutex   sync.Mutex
+	workers map[mothferry.WorkerID]*loadWorker
+	// takes is how long a task takes.
+	takes time.Duration
+	done  int
+}
+
+type loadWorker struct {
+	running map[mothferry.TaskName]mothferry.RunNumber
+	ends    []mothferry.EndedTask
+	last    mothferry.EndNumber
+	ended   chan struct{}
+}
+
+func (l *loadWorkers) at(id mothferry.WorkerID) *loadWorker {
+	w, ok := l.workers[id]
+	if !ok {
+		w = &loadWorker{running: map[mothferry.TaskName]mothferry.RunNumber{}, ended: make(chan struct{})}
+		l.workers[id] = w
+	}
+	return w
+}
+
+// Start implements mothferry.TaskWorkers.
+func (l *loadWorkers) Start(_ context.Context, at mothferry.WorkerAddress, o mothferry.StartOrder) (mothferry.WorkerClock, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	w := l.at(at.Worker)
+	w.running[o.Task] = o.Run
+	time.AfterFunc(time.Duration(float64(l.takes)*(0.5+rand.Float64())), func() {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		delete(w.running, o.Task)
+		w.last++
+		l.done++
+		w.ends = append(w.ends, mothferry.EndedTask{Number: w.last, Task: o.Task, Run: o.Run, Cause: mothferry.EndDone})
+		close(w.ended)
+		w.ended = make(chan struct{})
+	})
+	return loadClock(), nil
+}
+
+func loadClock() mothferry.WorkerClock { return mothferry.WorkerClock(time.Now().UnixNano()) }
+
+// Stop implements mothferry.TaskWorkers.
+func (l *loadWorkers) Stop(context.Context, mothferry.WorkerAddress, mothferry.TaskName, mothferry.RunNumber, mothferry.Epoch) (mothferry.WorkerClock, error) {
+	return loadClock(), nil
+}
+
+// Pace implements mothferry.TaskWorkers.
+func (l *loadWorkers) Pace(context.Context, mothferry.WorkerAddress, mothferry.TaskName, mothferry.RunNumber, int, mothferry.Epoch) (mothferry.WorkerClock, error) {
+	return loadClock(), nil
+}
+
+// Look implements mothferry.TaskWorkers.
+func (l *loadWorkers) Look(ctx context.Context, at mothferry.WorkerAddress, o mothferry.LookOrder) (mothferry.LookReport, error) {
+	l.mutex.Lock()
+	w := l.at(at.Worker)
+	for len(w.ends) > 0 && w.ends[0].Number <= o.Noted {
+		w.ends = w.ends[1:]
+	}
+	if len(w.ends) == 0 && o.Wait > 0 {
+		ended := w.ended
+		l.mutex.Unlock()
+		select {
+		case <-ended:
+		case <-time.After(o.Wait):
+		case <-ctx.Done():
+		}
+		l.mutex.Lock()
+	}
+	defer l.mutex.Unlock()
+	report := mothferry.LookReport{Clock: loadClock(), Ended: append([]mothferry.EndedTask(nil), w.ends...)}
+	for name, run := range w.running {
+		report.Running = append(report.Running, mothferry.RunningTask{Task: name, Run: run})
+	}
+	return report, nil
+}
+
+// loadRoom is what each machine has.
+var loadRoom = mothferry.Resources{Cores: 16000, Memory: 64 * mothferry.Gibibyte}
+
+// loadListing lists so many workers.
+type loadListing int
+
+// Run implements WorkerSource.
+func (n loadListing) Run(ctx context.Context, apply func([]mfsched.Worker, []mothferry.WorkerID, bool)) error {
+	var workers []mfsched.Worker
+	for i := range n {
+		id := mothferry.WorkerID(fmt.Sprintf("w-%04d", i))
+		workers = append(workers, mfsched.Worker{
+			At: mothferry.WorkerAddress{Worker: id, Address: "10.0.0.1:1"}, Service: "s", Rack: mothferry.RackID(fmt.Sprintf("r-%d", i/8)),
+			Capacity: loadRoom,
+		})
+	}
+	apply(workers, nil, true)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// loadMachines lists the machines of so many workers.
+type loadMachines int
+
+func (n loadMachines) List(context.Context) ([]mothferry.Machine, error) {
+	var machines []mothferry.Machine
+	for i := range n {
+		machines = append(machines, mothferry.Machine{
+			Machine: mothferry.MachineID(fmt.Sprintf("m-%04d", i)), Pool: "s", State: mothferry.MachineUp,
+			Worker: mothferry.WorkerID(fmt.Sprintf("w-%04d", i)), Capacity: loadRoom,
+		})
+	}
+	return machines, nil
+}
+
+func (loadMachines) Move(context.Context, mothferry.MachineID, mothferry.ServiceID, mothferry.MachineFence) error {
+	return nil
+}
+
+func (loadMachines) Upkeep(context.Context, mothferry.MachineID, mothferry.WaveID, mothferry.MachineFence) error {
+	return nil
+}
+
+// slowRows takes as long for a commit as the users' store.
+type slowRows struct{ *mfstandin.Rows }
+
+// Commit implements mothferry.RowStore.
+func (s slowRows) Commit(ctx context.Context, txn mothferry.Txn) (mothferry.Version, error) {
+	time.Sleep(7 * time.Millisecond)
+	return s.Rows.Commit(ctx, txn)
+}
+
+// relayed returns workers that are called over four relays on loopback.
+func relayed(ctx context.Context, b *testing.B, workers mothferry.TaskWorkers) (*mfrelay.Relay, func(context.Context)) {
+	quiet := log.NewEntry(&log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	var hosts []mfrecord.Host
+	for i := range 4 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		address := listener.Addr().String()
+		assert.NilError(b, listener.Close())
+		server := &mfrelay.Server{Address: address, Workers: workers, Clock: mfclock.System{}, Log: quiet}
+		go func() { _ = server.Run(ctx) }()
+		hosts = append(hosts, mfrecord.Host{Daemon: mothferry.DaemonID(fmt.Sprintf("r-%d", i)), Address: address, Cores: 800})
+	}
+	r := &mfrelay.Relay{Daemon: "h", Direct: workers, OrderTimeout: time.Second, Clock: mfclock.System{}, Log: quiet}
+	r.SetHosts(hosts)
+	return r, func(ctx context.Context) { _ = r.Run(ctx) }
+}
+
+// BenchmarkTurn has an owner of 800 workers run the height of a turn for some seconds:
+// 250 jobs a second, of two steps with six tasks. It tells the processor time of a
+// second, in which the stand-ins have their share, and the part of the tasks that were
+// done by the end.
+func BenchmarkTurn(b *testing.B) {
+	const (
+		rate  = 250
+		lasts = 6 * time.Second
+	)
+	for b.Loop() {
+		rows := slowRows{&mfstandin.Rows{}}
+		workers := &loadWorkers{workers: map[mothferry.WorkerID]*loadWorker{}, takes: 640 * time.Millisecond}
+		config := &mfqueue.Config{
+			Version: 1, Queues: []mfqueue.Queue{{ID: "q", Service: "s", MaxAttempts: 2, Stretch: 1.6, Latency: 600 * time.Millisecond}},
+			Services: []mfqueue.Service{{ID: "s"}},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		relay, beside := relayed(ctx, b, workers)
+		o := &Owner{
+			Daemon: "h", Store: rows, Workers: relay, Beside: beside, Listing: loadListing(800), Machines: loadMachines(800),
+			Waves: func() []mfsched.Wave { return nil }, Config: func() *mfqueue.Config { return config },
+			Limits: mfsched.UsualLimits(), Cores: 800, Clock: mfclock.System{}, Random: mfclock.SystemRandom{},
+			Log: log.NewEntry(&log.Logger{Handler: discard.New(), Level: log.InfoLevel}),
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = o.Run(ctx)
+		}()
+		for !o.Owning() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		before := processorTime(b)
+		tasks := handIn(b, rows, rate, lasts)
+		time.Sleep(2500 * time.Millisecond)
+		used := processorTime(b) - before
+		workers.mutex.Lock()
+		b.ReportMetric(float64(workers.done)/float64(tasks), "done/task")
+		workers.mutex.Unlock()
+		b.ReportMetric(used.Seconds()/(lasts.Seconds()+2.5), "cpu/s")
+		cancel()
+		<-ended
+	}
+}
+
+// handIn hands jobs in at a rate for a while and returns how many tasks they have.
+func handIn(b *testing.B, store mothferry.RowStore, rate int, lasts time.Duration) int {
+	tasks := 0
+	for began, i := time.Now(), 0; time.Since(began) < lasts; i++ {
+		id := mothferry.JobID(fmt.Sprintf("%016x", rand.Uint64()))
+		step := mfjob.Step{Count: 6, Need: mothferry.Resources{Cores: 2200, Memory: 8 * mothferry.Gibibyte}, Estimate: 640 * time.Millisecond}
+		next := step
+		next.After = []int{0}
+		value, err := mfjob.EncodeSubmission(mfjob.Submission{Queue: "q", Service: "s", Spec: "spec", Accepted: time.Now(), Steps: []mfjob.Step{step, next}})
+		assert.NilError(b, err)
+		go func() {
+			_, err := store.Commit(context.Background(), mothferry.Txn{Writes: []mothferry.Write{{Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.JobKey(id), Value: value}}})
+			assert.Check(b, err)
+		}()
+		tasks += 12
+		time.Sleep(time.Until(began.Add(time.Duration(i+1) * time.Second / time.Duration(rate))))
+	}
+	return tasks
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -12,6 +12,7 @@
 	"mothferry"
 	"mothferry/mffeed"
 	"mothferry/mfjob"
+	"mothferry/mfjournal"
 	"mothferry/mfqueue"
 	"mothferry/mfrecord"
 	"mothferry/mfsched"
@@ -24,6 +25,10 @@
 	eventRoom = 4096
 	// tickEvery is how often time passes for the scheduler.
 	tickEvery = 10 * time.Millisecond
+	// tickGap is the shortest time between two rounds of decisions. Answers come two
+	// thousand a second at the height of a turn; a round for each looks through all
+	// workers each time. It is a fifth of the pause between two looks or commits.
+	tickGap = 4 * time.Millisecond
 	// inboxWait is how long the store may hold the inbox's feed back.
 	inboxWait = 900 * time.Millisecond
 	// inboxEvery gathers jobs that come close together into one call.
@@ -51,6 +56,9 @@
 	number   int
 	config   *mfqueue.Config
 	account  account
+	// journal lays out what is stored of jobs, progress what was stored before this
+	// ownership.
+	journal  *mfjournal.Journal
 	progress map[mothferry.JobID]*mfjob.Progress
 	// loaded is closed once all stored jobs have been passed on.
 	loaded chan struct{}
@@ -111,20 +119,25 @@
 	if err != nil {
 		return err
 	}
+	segments, err := s.readShard(mfrecord.TableLog)
+	if err != nil {
+		return err
+	}
+	newest, journal, err := mfjournal.Read(rows, segments)
+	if err != nil {
+		return err
+	}
+	s.journal = journal
 	s.progress = map[mothferry.JobID]*mfjob.Progress{}
 	over := 0
-	for _, r := range rows {
-		p, err := mfjob.DecodeProgress(r.Value)
-		if err != nil {
-			return err
-		}
+	for id, p := range newest {
 		if p.State.Final() {
 			over++
-			s.step(mfsched.JobOver{Job: mothferry.JobID(r.Key), State: p.State})
+			s.step(mfsched.JobOver{Job: id, State: p.State})
 		}
-		s.progress[mothferry.JobID(r.Key)] = &p
+		s.progress[id] = &p
 	}
-	s.owner.Log.WithField("jobs", len(rows)).WithField("over", over).Info("progress is read")
+	s.owner.Log.WithField("jobs", len(rows)).WithField("over", over).WithField("segments", len(segments)).Info("progress is read")
 	return nil
 }
 
@@ -223,6 +236,9 @@
 }
 
 func (s *session) loop() error {
+	due := time.NewTimer(tickEvery)
+	defer due.Stop()
+	ticked := s.owner.Clock.Now()
 	for {
 		select {
 		case <-s.ctx.Done():
@@ -241,16 +257,28 @@
 			s.drain()
 		case f := <-s.acts:
 			f()
-		case <-s.owner.Clock.After(tickEvery):
+		case <-due.C:
+		}
+		now := s.owner.Clock.Now()
+		if wait := tickGap - now.Sub(ticked); wait > 0 {
+			due.Reset(wait)
+			continue
 		}
-		s.owner.probeSpeed()
-		s.doDuties(s.owner.Clock.Now())
-		s.adoptConfig()
-		s.step(mfsched.Tick{})
-		s.tellAccount(s.owner.Clock.Now())
+		ticked = now
+		s.round(now)
+		due.Reset(tickEvery)
 	}
 }
 
+// round decides on all that was learnt since the last one.
+func (s *session) round(now time.Time) {
+	s.owner.probeSpeed()
+	s.doDuties(now)
+	s.adoptConfig()
+	s.step(mfsched.Tick{})
+	s.tellAccount(now)
+}
+
 // drain takes in the events that wait already, so that one round of decisions
 // answers them all.
 func (s *session) drain() {
@@ -330,10 +358,7 @@
 
 // commit stores progress together with the head row.
 func (s *session) commit(c mfsched.Commit) {
-	var rows []mothferry.Write
-	for id, p := range c.Progress {
-		rows = append(rows, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: mfjob.EncodeProgress(p)})
-	}
+	rows := s.journal.Write(c.Progress)
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.owner.Limits.LeaseTail()}
 	now := s.owner.Clock.Now()
 	head.Called, head.Largest = s.calledAgo(now), s.duties.largest
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -5,6 +5,7 @@
 //	                                  deleted some seconds after the job is over
 //	                       cancel/ID  a caller's cancel; written once
 //	progress part SHARD    ID         how far the job is; the owner's alone
+//	log      part SHARD    number     how far jobs are that changed since
 //	owner    part SHARD    head       who owns the shard; rewritten by each of
 //	                                  the owner's commits
 //
@@ -16,6 +17,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,6 +30,7 @@
 const (
 	TableInbox    mothferry.TableID = "mothferry_inbox"
 	TableProgress mothferry.TableID = "mothferry_progress"
+	TableLog      mothferry.TableID = "mothferry_log"
 	TableOwner    mothferry.TableID = "mothferry_owner"
 )
 
@@ -68,6 +71,15 @@
 	prefixCancel = "cancel/"
 )
 
+// LogKey is the key of a row of the log; keys sort as their numbers do.
+func LogKey(number uint64) mothferry.Key { return mothferry.Key(fmt.Sprintf("%016x", number)) }
+
+// LogNumber returns the number of a row of the log.
+func LogNumber(k mothferry.Key) (uint64, error) {
+	number, err := strconv.ParseUint(string(k), 16, 64)
+	return number, trace.Wrap(err)
+}
+
 // JobKey is the inbox's key of a job.
 func JobKey(id mothferry.JobID) mothferry.Key { return mothferry.Key(prefixJob + string(id)) }
 
@@ -87,8 +99,8 @@
 }
 
 // headFormat is the version of the stored form of Head. In format 1 the machines
-// asked for had no age.
-const headFormat = 2
+// asked for had no age; before format 3 there was no log, which an owner must read.
+const headFormat = 3
 
 // Head is the row that names a shard's owner. Each commit of the owner checks
 // and rewrites it, so that it is a lease's renewal too, commits happen one
--- a/mfrecord/record_test.go
+++ b/mfrecord/record_test.go
@@ -21,7 +21,7 @@
 	got, err := mfrecord.DecodeHead(data)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, want)
-	_, err = mfrecord.DecodeHead([]byte(`{"format":3}`))
+	_, err = mfrecord.DecodeHead([]byte(`{"format":4}`))
 	assert.ErrorType(t, err, &mfrecord.ErrNewerHead{})
 }
 
--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -28,8 +28,11 @@
 	// fifth of that answers within 100 ms.
 	beatEvery   = 120 * time.Millisecond
 	silentAfter = 450 * time.Millisecond
-	// gather is how long orders, and answers, wait for others to go with them.
-	gather = time.Millisecond
+	// gatherOrders is how long orders wait for others to go with them: those of one
+	// commit come within it. gatherAnswers is the same for answers, of which a relay has
+	// two hundred a second one by one: the owner decides no sooner anyway.
+	gatherOrders  = time.Millisecond
+	gatherAnswers = 4 * time.Millisecond
 	// maxFrame bounds one message, in bytes. 500 ends of a worker take some 50 kB.
 	maxFrame = 8 << 20
 	// readRoom is the buffer for reading: several hundred answers.
@@ -192,7 +195,7 @@
 			if !open {
 				return
 			}
-			<-l.clock.After(gather)
+			<-l.clock.After(gatherOrders)
 		case <-beat.C:
 			if !l.alive() {
 				return
--- a/mfrelay/server.go
+++ b/mfrelay/server.go
@@ -205,7 +205,7 @@
 			return
 		case <-v.wake:
 		}
-		<-v.server.Clock.After(gather)
+		<-v.server.Clock.After(gatherAnswers)
 		v.mutex.Lock()
 		message := &mfwire.Outcomes{Outcomes: v.outcomes, Leaving: v.server.isLeaving()}
 		v.outcomes = nil
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -26,7 +26,7 @@
 		s.arrived(j, now)
 	}
 	if e.Progress != nil {
-		j.state = e.Progress.State
+		j.state, j.begunStored = e.Progress.State, true
 		s.restore(j, *e.Progress, now)
 	}
 	if s.cancelledEarly[e.Job] {
@@ -127,7 +127,12 @@
 	t.pace, t.inherited, t.sends = fullPace, time.Time{}, 0
 }
 
-func (s *State) touch(j *job) { s.dirty[j.id] = j }
+func (s *State) touch(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+}
 
 // cancel ends a job by its caller's wish and stops all its runs.
 func (s *State) cancel(id mothferry.JobID, now time.Time) {
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -63,9 +63,12 @@
 	renewEvery = 350 * time.Millisecond
 	// choreGap is how often what depends on time alone is looked through.
 	choreGap = 50 * time.Millisecond
-	// maxCommitJobs bounds the jobs of one commit; a transaction takes 100
-	// entries, two of which are the owner's own row.
-	maxCommitJobs = 90
+	// maxCommitJobs bounds the jobs of one commit: some 0.5 kB each of the 1 MB that a
+	// transaction takes, and short beside the time that it takes to be sent.
+	maxCommitJobs = 400
+	// maxCommitOwn bounds those of them that need a row of their own, of the 100 entries
+	// of a transaction.
+	maxCommitOwn = 60
 	// maxForget bounds the jobs forgotten at once: each has two rows in the
 	// inbox, and a transaction takes 100 entries.
 	maxForget = 45
--- a/mfsched/loss.go
+++ b/mfsched/loss.go
@@ -65,10 +65,10 @@
 	return true
 }
 
-// mayLookBeside reports whether a second look may be under way at a worker: while
-// looks are lost, one of two is answered nearly always.
-func (s *State) mayLookBeside(w *worker, now time.Time) bool {
-	return w.looks == 1 && !w.failing && w.sealed && w.busy() && now.Sub(w.lookSent) >= besideAfter && s.losses.lossy(now)
+// mayLookBeside reports whether a second look may be under way at a worker while looks
+// are lost: one of two is answered nearly always.
+func (w *worker) mayLookBeside(now time.Time) bool {
+	return w.looks == 1 && !w.failing && w.sealed && now.Sub(w.lookSent) >= besideAfter && w.busy()
 }
 
 // busy reports whether a task runs on the worker that ends by itself.
--- a/mfsched/over.go
+++ b/mfsched/over.go
@@ -1,6 +1,7 @@
 package mfsched
 
 import (
+	"slices"
 	"time"
 
 	"mothferry"
@@ -89,7 +90,7 @@
 		}
 		s.ended = s.ended[1:]
 		delete(s.jobs, j.id)
-		delete(s.dirty, j.id)
+		s.undirty(j)
 		gone = append(gone, j.id)
 	}
 	if len(gone) > 0 {
@@ -109,3 +110,11 @@
 	}
 	return false
 }
+
+// undirty takes a job out of those whose change has to be stored.
+func (s *State) undirty(j *job) {
+	if j.dirty {
+		j.dirty = false
+		s.dirty = slices.DeleteFunc(s.dirty, func(o *job) bool { return o == j })
+	}
+}
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -123,8 +123,11 @@
 	occurrences []*occurrence
 	// touched says that a run was ever ordered.
 	touched bool
-	chain   time.Duration
-	over    time.Time
+	// dirty says that a change is in no commit yet, begunStored that the job's own row
+	// is stored or in the commit under way.
+	dirty, begunStored bool
+	chain              time.Duration
+	over               time.Time
 	// stored says that its final state is.
 	stored bool
 }
@@ -156,7 +159,9 @@
 	// losses tells whether looks are being lost.
 	losses losses
 
-	dirty map[mothferry.JobID]*job
+	// dirty holds the jobs whose change is in no commit yet, those first that changed
+	// first: chosen by their ids, some would wait for as long as there are too many.
+	dirty []*job
 	// planned holds tasks whose intent is not in a commit yet, committing those
 	// in the commit under way.
 	planned    []plannedRun
@@ -189,7 +194,7 @@
 		Limits: limits, Epoch: epoch, Floor: floor, lastCommit: taken,
 		queues: map[mothferry.QueueID]Queue{},
 		jobs:   map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
-		leaving: map[mothferry.WorkerID]bool{}, dirty: map[mothferry.JobID]*job{},
+		leaving:        map[mothferry.WorkerID]bool{},
 		arrivals:       map[mothferry.ServiceID]*arrivals{},
 		noting:         map[mothferry.WorkerID]mothferry.EndNumber{},
 		cancelledEarly: map[mothferry.JobID]bool{},
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -1,8 +1,6 @@
 package mfsched
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"mothferry"
@@ -64,18 +62,25 @@
 	}
 	s.number++
 	c := Commit{Number: s.number, Progress: map[mothferry.JobID]mfjob.Progress{}}
-	left := map[mothferry.JobID]*job{}
-	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
-		j := s.dirty[id]
-		if len(c.Progress) >= maxCommitJobs {
-			left[id] = j
+	own := 0
+	left := s.dirty[:0]
+	for _, j := range s.dirty {
+		// What callers are told has a row of its own: that a job has begun, or is over.
+		ownRow := !j.begunStored || j.state.Final()
+		if len(c.Progress) >= maxCommitJobs || ownRow && own >= maxCommitOwn {
+			left = append(left, j)
 			continue
 		}
-		c.Progress[id] = progressOf(j)
+		if ownRow {
+			own++
+		}
+		j.dirty, j.begunStored = false, true
+		c.Progress[j.id] = progressOf(j)
 		if j.state.Final() && !j.stored {
 			s.concluding = append(s.concluding, j)
 		}
 	}
+	clear(s.dirty[len(left):])
 	s.dirty = left
 	s.committing, s.planned = s.splitPlanned(c)
 	clear(s.noting)
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -174,12 +174,14 @@
 
 // lookAround asks for the looks that are due.
 func (s *State) lookAround(now time.Time) {
-	for _, w := range slices.Clone(s.roster) {
-		if w.looks > 0 && !s.mayLookBeside(w, now) || w.at.Address == "" || now.Before(w.nextLook) {
+	lossy := s.losses.lossy(now)
+	var gone []*worker
+	for _, w := range s.roster {
+		if w.looks > 0 && !(lossy && w.mayLookBeside(now)) || w.at.Address == "" || now.Before(w.nextLook) {
 			continue
 		}
 		if !w.listed && len(w.tasks) == 0 {
-			s.forgetWorker(w)
+			gone = append(gone, w)
 			continue
 		}
 		// Ends whose effect is not stored yet would only be listed again.
@@ -188,6 +190,9 @@
 		}
 		s.look(w, now)
 	}
+	for _, w := range gone {
+		s.forgetWorker(w)
+	}
 }
 
 // forgetWorker drops a life that is neither listed nor has work.
