--- a/mfowner/head_test.go
+++ b/mfowner/head_test.go
@@ -75,7 +75,7 @@
 // 1.1 s, as long as the store may take when it is a hundred times slower.
 // Cause: how well the store was did not count, though each look at the head tells it.
 func TestSilenceIsShorterOnAStoreThatIsWell(t *testing.T) {
-	well := watched(owned(800), shortLease+50*time.Millisecond)
+	well := watched(owned(800), shortLease+100*time.Millisecond)
 	well.took = 7 * time.Millisecond
 	assert.Assert(t, well.claimable("h-2", 800))
 	assert.Equal(t, well.lastCommit(well.read.Add(time.Second)), well.since)
