Use no worker whose entry another writer may have left

One that is refused names no worker: what already runs there goes on, as if it were no longer listed. A worker of a service that does not exist is not called. One log line for each, and a counter.

--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -72,6 +72,7 @@
 	waves   map[mothferry.WaveID]mfsched.Wave
 	ended   *prometheus.HistogramVec
 	calls   *prometheus.HistogramVec
+	refused prometheus.Counter
 }
 
 // Config returns the config in force, nil before the first one.
@@ -91,6 +92,9 @@
 	d.calls.WithLabelValues(operation, outcome).Observe(took.Seconds())
 }
 
+// EntryRefused counts a worker's entry that names no worker to use.
+func (d *Daemon) EntryRefused() { d.refused.Inc() }
+
 // Log returns the logger of a part.
 func (d *Daemon) Log(part string) *log.Entry {
 	return d.Logs.Part(part).WithField("daemon", d.Settings.Daemon)
@@ -161,7 +165,10 @@
 		}
 		return 0
 	})
-	d.Registry.MustRegister(d.ended, d.calls, decisions, commits, owning)
+	d.refused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "mothferry_worker_entries_refused_total", Help: "Workers' entries that were read and name no worker to use.",
+	})
+	d.Registry.MustRegister(d.refused, d.ended, d.calls, decisions, commits, owning)
 	d.store = &reach{RowStore: d.Outside.Store, clock: d.Clock}
 	d.buildRelay()
 	d.owner = &mfowner.Owner{
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -330,7 +330,7 @@
 		return
 	}
 	s.config = c
-	e := mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{}}
+	e := mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{}, Services: map[mothferry.ServiceID]bool{}}
 	s.duties.standby = map[mothferry.ServiceID]bool{}
 	for _, q := range c.Queues {
 		e.Queues[q.ID] = mfsched.Queue{
@@ -340,6 +340,7 @@
 	}
 	for _, v := range c.Services {
 		s.duties.standby[v.ID] = v.Standby
+		e.Services[v.ID] = true
 	}
 	s.step(e)
 }
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -28,6 +28,8 @@
 // ConfigChanged brings the queues of a newer config.
 type ConfigChanged struct {
 	Queues map[mothferry.QueueID]Queue
+	// Services holds the services that there are; nil if that is not told.
+	Services map[mothferry.ServiceID]bool
 }
 
 // JobFound brings a job that a caller handed in, with its progress if an
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -141,7 +141,9 @@
 
 	loaded bool
 	queues map[mothferry.QueueID]Queue
-	jobs   map[mothferry.JobID]*job
+	// services holds those that the config names; nil if it was not told.
+	services map[mothferry.ServiceID]bool
+	jobs     map[mothferry.JobID]*job
 	// live holds the jobs that are not over.
 	live    map[mothferry.JobID]*job
 	workers map[mothferry.WorkerID]*worker
@@ -206,7 +208,7 @@
 	s.out = nil
 	switch v := e.(type) {
 	case ConfigChanged:
-		s.queues = v.Queues
+		s.queues, s.services = v.Queues, v.Services
 	case JobFound:
 		s.found(v, now)
 	case JobOver:
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -184,6 +184,9 @@
 			gone = append(gone, w)
 			continue
 		}
+		if len(w.tasks) == 0 && s.foreign(w) {
+			continue
+		}
 		// Ends whose effect is not stored yet would only be listed again.
 		if w.noted < w.seen && !w.failing {
 			continue
@@ -195,6 +198,10 @@
 	}
 }
 
+// foreign reports whether a worker says that it is of a service that does not exist: its
+// entry was not written by a worker of this fleet, and nothing is sent to its address.
+func (s *State) foreign(w *worker) bool { return s.services != nil && !s.services[w.Service] }
+
 // forgetWorker drops a life that is neither listed nor has work.
 func (s *State) forgetWorker(w *worker) {
 	delete(s.workers, w.at.Worker)
