--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -333,6 +333,7 @@
 	e := mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{}, Services: map[mothferry.ServiceID]bool{}}
 	s.duties.standby = map[mothferry.ServiceID]bool{}
 	for _, q := range c.Queues {
+		e.Services[q.Service] = true
 		e.Queues[q.ID] = mfsched.Queue{
 			Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 			Stretch: q.Stretch, Latency: q.Latency, Advised: q.Advised,
--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -61,8 +61,9 @@
 // link is the connection to one relay.
 type link struct {
 	host  mfrecord.Host
-	from  mothferry.DaemonID
 	clock mothferry.Clock
+	// needed is when the relay was last chosen; the mutex of the owner's side guards it.
+	needed time.Time
 
 	mutex   sync.Mutex
 	up      bool
--- a/mfrelay/relay.go
+++ b/mfrelay/relay.go
@@ -32,8 +32,16 @@
 	// reviewEvery is how often relays are chosen anew.
 	reviewEvery = 250 * time.Millisecond
 	// avoidFor is how long a relay that was lost, or can't be reached, is not tried
-	// again: shorter than a restart takes, and long beside a lost beat.
-	avoidFor = 2 * time.Second
+	// again: shorter than a restart takes, and long beside a lost beat. It doubles with
+	// each time up to avoidMost: the hosts of a data centre that is cut off would else
+	// be tried one after the other, some thirty a second.
+	avoidFor  = 2 * time.Second
+	avoidMost = 16 * time.Second
+	// avoidDoublings bounds the doubling.
+	avoidDoublings = 3
+	// keepFor is how long a relay is kept that is not needed: the number of workers falls
+	// and rises with the pools' turns, and each change is new connections to workers.
+	keepFor = 20 * time.Second
 	// overdue is how much longer than the call itself the answer of a relay may take:
 	// it answers each order, so that beyond that the order was lost on the way.
 	overdue = 400 * time.Millisecond
@@ -56,11 +64,17 @@
 	// hosts are those that could pass orders on, links those that were chosen.
 	hosts      []mfrecord.Host
 	links      map[mothferry.DaemonID]*link
-	avoided    map[mothferry.DaemonID]time.Time
+	avoided    map[mothferry.DaemonID]avoided
 	roster     roster
 	generation int
 }
 
+// avoided is until when a host is not tried, and how often that was so in a row.
+type avoided struct {
+	until time.Time
+	times int
+}
+
 // SetHosts replaces the hosts that could be relays.
 func (r *Relay) SetHosts(hosts []mfrecord.Host) {
 	r.mutex.Lock()
@@ -84,30 +98,31 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.Clock.Now()
-	avoid := func(d mothferry.DaemonID) bool { return now.Before(r.avoided[d]) }
+	avoid := func(d mothferry.DaemonID) bool { return now.Before(r.avoided[d].until) }
 	chosen := map[mothferry.DaemonID]bool{}
 	for _, h := range Choose(r.hosts, r.roster.count(now), avoid) {
 		chosen[h.Daemon] = true
 		if l, there := r.links[h.Daemon]; there && l.host == h {
+			l.needed = now
 			continue
 		}
-		r.open(ctx, h)
+		r.open(ctx, h, now)
 	}
 	for id, l := range r.links {
-		if !chosen[id] && l.retire() {
+		if !chosen[id] && now.Sub(l.needed) >= keepFor && l.retire() {
 			r.remove(l)
 		}
 	}
 }
 
-func (r *Relay) open(ctx context.Context, h mfrecord.Host) {
+func (r *Relay) open(ctx context.Context, h mfrecord.Host, now time.Time) {
 	if r.links == nil {
 		r.links = map[mothferry.DaemonID]*link{}
 	}
 	if old, there := r.links[h.Daemon]; there {
 		old.close(errRetired)
 	}
-	l := &link{host: h, clock: r.Clock, from: r.Daemon}
+	l := &link{host: h, clock: r.Clock, needed: now}
 	r.links[h.Daemon] = l
 	go func() {
 		err := l.run(ctx, func() { r.opened(l) })
@@ -120,6 +135,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.generation++
+	delete(r.avoided, l.host.Daemon)
 	r.Log.WithField("relay", l.host.Daemon).WithField("address", l.host.Address).WithField("links", len(r.links)).Info("relay is connected")
 }
 
@@ -134,9 +150,12 @@
 		return
 	}
 	if r.avoided == nil {
-		r.avoided = map[mothferry.DaemonID]time.Time{}
+		r.avoided = map[mothferry.DaemonID]avoided{}
 	}
-	r.avoided[l.host.Daemon] = r.Clock.Now().Add(avoidFor)
+	a := r.avoided[l.host.Daemon]
+	a.until = r.Clock.Now().Add(min(avoidMost, avoidFor<<a.times))
+	a.times = min(a.times+1, avoidDoublings)
+	r.avoided[l.host.Daemon] = a
 	r.Log.WithError(err).WithField("relay", l.host.Daemon).WithField("orders", l.abandoned()).Warn("relay is lost")
 }
 
