--- a/mfemulate/load_test.go
+++ b/mfemulate/load_test.go
@@ -46,14 +46,7 @@
 // time 0.79 sized by what came in the last 0.4 s, 0.85 with the forecast.
 func TestPoolsAreReadyForRisingDemand(t *testing.T) {
 	load := humps(t)
-	const part = 5
-	for i := range load.Services {
-		load.Services[i].Machines /= part
-	}
-	for i := range load.Queues {
-		load.Queues[i].Jobs /= part
-		load.Queues[i].Lasting /= part
-	}
+	divide(load, 5)
 	const seeds = 4
 	worth := 0.0
 	for seed := range uint64(seeds) {
@@ -63,6 +56,17 @@
 	assert.Assert(t, worth > 0.82, "%.3f", worth)
 }
 
+// divide leaves a part of a load's machines and jobs.
+func divide(load mfemulate.Load, by int) {
+	for i := range load.Services {
+		load.Services[i].Machines /= by
+	}
+	for i := range load.Queues {
+		load.Queues[i].Jobs /= float64(by)
+		load.Queues[i].Lasting /= by
+	}
+}
+
 func humps(t *testing.T) mfemulate.Load {
 	t.Helper()
 	load, err := mfemulate.DecodeLoad("humps.yaml", mfexample.Humps)
@@ -92,14 +96,7 @@
 func TestLostCallsHoldLittleUp(t *testing.T) {
 	load, err := mfemulate.DecodeLoad("late.yaml", mfexample.Late)
 	assert.NilError(t, err)
-	const part = 5
-	for i := range load.Services {
-		load.Services[i].Machines /= part
-	}
-	for i := range load.Queues {
-		load.Queues[i].Jobs /= part
-		load.Queues[i].Lasting /= part
-	}
+	divide(load, 5)
 	const seeds = 2
 	worth := 0.0
 	for seed := range uint64(seeds) {
--- /dev/null
+++ b/mfowner/commit.go
@@ -0,0 +1,35 @@
+package mfowner
+
+import (
+	"maps"
+
+	"mothferry/mfrecord"
+	"mothferry/mfsched"
+)
+
+// commit stores progress together with the head row.
+func (s *session) commit(c mfsched.Commit) {
+	rows := s.journal.Write(c.Progress)
+	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.owner.Limits.LeaseTail()}
+	now := s.owner.Clock.Now()
+	head.Called, head.Largest = s.calledAgo(now), s.duties.largest
+	head.CalledBy = maps.Clone(s.duties.calledBy)
+	if pending, known := s.state.Pending(); known {
+		head.Counted, head.Pending, head.Waits = true, pending, s.state.Waits(now)
+	}
+	board := head
+	board.Read, board.Since = now, now
+	s.owner.board.Store(&board)
+	rows = append(rows, s.waveRows()...)
+	s.account.rows += len(rows)
+	s.duties.releasing, s.duties.waiting = s.duties.waiting, nil
+	s.inFlight, s.number, s.sent = true, c.Number, s.owner.Clock.Now()
+	go func() {
+		began := s.owner.Clock.Now()
+		err := s.chain.write(s.commits, head, rows)
+		if s.owner.Committed != nil {
+			s.owner.Committed(s.owner.Clock.Now().Sub(began))
+		}
+		s.written <- err
+	}()
+}
--- /dev/null
+++ b/mfowner/follow.go
@@ -0,0 +1,82 @@
+package mfowner
+
+import (
+	"mothferry"
+	"mothferry/mffeed"
+	"mothferry/mfjob"
+	"mothferry/mfrecord"
+	"mothferry/mfsched"
+)
+
+func (s *session) followInbox() {
+	f := &mffeed.Follower{
+		Store: s.owner.Store, Clock: s.owner.Clock, Random: s.owner.Random, Log: s.owner.Log,
+		Table: mfrecord.TableInbox, Parts: mfrecord.InboxParts(), Wait: inboxWait, Every: inboxEvery, Apply: s.applyInbox,
+	}
+	_ = f.Run(s.ctx)
+}
+
+// applyInbox passes jobs and cancels on. The scheduler ignores what it knows.
+func (s *session) applyInbox(rows []mothferry.Row, whole bool) {
+	if !s.await(s.restored) {
+		return
+	}
+	if whole {
+		defer s.once.Do(func() {
+			s.owner.Log.WithField("rows", len(rows)).Info("inbox is read")
+			s.post(mfsched.JobsLoaded{})
+			close(s.loaded)
+		})
+	}
+	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
+		if id, ok := mfrecord.CancelOf(r.Key); ok {
+			s.post(mfsched.CancelFound{Job: id})
+			continue
+		}
+		id, ok := mfrecord.JobOf(r.Key)
+		if !ok {
+			continue
+		}
+		if p := s.progress[id]; p != nil && p.State.Final() {
+			s.post(mfsched.JobOver{Job: id, State: p.State})
+			continue
+		}
+		submission, err := mfjob.DecodeSubmission(r.Value)
+		if err != nil {
+			s.owner.Log.WithError(err).WithField("job", id).Error("stored job can't be read")
+			continue
+		}
+		s.post(mfsched.JobFound{Job: id, Submission: submission, Progress: s.progress[id]})
+	}
+}
+
+// await reports whether a channel was closed before the session ended.
+func (s *session) await(done chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+func (s *session) listWorkers() {
+	_ = s.owner.Listing.Run(s.ctx, s.applyWorkers)
+}
+
+// applyWorkers waits until all jobs are known: what a worker runs of a job that is not
+// known yet would be taken for a run that should not be there.
+func (s *session) applyWorkers(changed []mfsched.Worker, gone []mothferry.WorkerID, _ bool) {
+	if !s.await(s.loaded) {
+		return
+	}
+	for _, w := range changed {
+		s.post(mfsched.WorkerListed{Worker: w})
+	}
+	for _, id := range gone {
+		s.post(mfsched.WorkerUnlisted{Worker: id})
+	}
+}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"mothferry"
-	"mothferry/mffeed"
 	"mothferry/mfjob"
 	"mothferry/mfjournal"
 	"mothferry/mfqueue"
-	"mothferry/mfrecord"
 	"mothferry/mfsched"
 )
 
@@ -111,131 +108,6 @@
 	return s.loop()
 }
 
-// load reads what earlier owners stored. It is read after the shard was taken
-// over, so that nothing can be added by them any more.
-func (s *session) load() error {
-	waves, err := s.readShard(mfrecord.TableOwner)
-	if err != nil {
-		return err
-	}
-	if err := s.restoreWaves(waves); err != nil {
-		return err
-	}
-	rows, err := s.readShard(mfrecord.TableProgress)
-	if err != nil {
-		return err
-	}
-	segments, err := s.readShard(mfrecord.TableLog)
-	if err != nil {
-		return err
-	}
-	newest, journal, err := mfjournal.Read(rows, segments)
-	if err != nil {
-		return err
-	}
-	s.journal = journal
-	s.progress = map[mothferry.JobID]*mfjob.Progress{}
-	over := 0
-	for id, p := range newest {
-		if p.State.Final() {
-			over++
-			s.step(mfsched.JobOver{Job: id, State: p.State})
-		}
-		s.progress[id] = &p
-	}
-	s.owner.Log.WithField("jobs", len(rows)).WithField("over", over).WithField("segments", len(segments)).Info("progress is read")
-	return nil
-}
-
-// readShard reads a table's rows of the shard. It tries until the store
-// answers: the shard is this host's until another one takes it, which the next
-// commit shows.
-func (s *session) readShard(table mothferry.TableID) ([]mothferry.Row, error) {
-	for {
-		rows, _, err := mffeed.ReadAll(s.ctx, s.owner.Store, mothferry.RowRange{Table: table, Part: mfrecord.PartShard})
-		if err == nil {
-			return rows, nil
-		}
-		s.owner.Log.WithError(err).Warn("the shard can't be read, trying again")
-		if err := s.chain.write(s.ctx, s.chain.head, nil); err != nil {
-			return nil, err
-		}
-	}
-}
-
-func (s *session) followInbox() {
-	f := &mffeed.Follower{
-		Store: s.owner.Store, Clock: s.owner.Clock, Random: s.owner.Random, Log: s.owner.Log,
-		Table: mfrecord.TableInbox, Parts: mfrecord.InboxParts(), Wait: inboxWait, Every: inboxEvery, Apply: s.applyInbox,
-	}
-	_ = f.Run(s.ctx)
-}
-
-// applyInbox passes jobs and cancels on. The scheduler ignores what it knows.
-func (s *session) applyInbox(rows []mothferry.Row, whole bool) {
-	if !s.await(s.restored) {
-		return
-	}
-	if whole {
-		defer s.once.Do(func() {
-			s.owner.Log.WithField("rows", len(rows)).Info("inbox is read")
-			s.post(mfsched.JobsLoaded{})
-			close(s.loaded)
-		})
-	}
-	for _, r := range rows {
-		if r.Deleted {
-			continue
-		}
-		if id, ok := mfrecord.CancelOf(r.Key); ok {
-			s.post(mfsched.CancelFound{Job: id})
-			continue
-		}
-		id, ok := mfrecord.JobOf(r.Key)
-		if !ok {
-			continue
-		}
-		if p := s.progress[id]; p != nil && p.State.Final() {
-			s.post(mfsched.JobOver{Job: id, State: p.State})
-			continue
-		}
-		submission, err := mfjob.DecodeSubmission(r.Value)
-		if err != nil {
-			s.owner.Log.WithError(err).WithField("job", id).Error("stored job can't be read")
-			continue
-		}
-		s.post(mfsched.JobFound{Job: id, Submission: submission, Progress: s.progress[id]})
-	}
-}
-
-// await reports whether a channel was closed before the session ended.
-func (s *session) await(done chan struct{}) bool {
-	select {
-	case <-done:
-		return true
-	case <-s.ctx.Done():
-		return false
-	}
-}
-
-func (s *session) listWorkers() {
-	_ = s.owner.Listing.Run(s.ctx, s.applyWorkers)
-}
-
-// applyWorkers waits until all jobs are known: what a worker runs of a job that is not
-// known yet would be taken for a run that should not be there.
-func (s *session) applyWorkers(changed []mfsched.Worker, gone []mothferry.WorkerID, _ bool) {
-	if !s.await(s.loaded) {
-		return
-	}
-	for _, w := range changed {
-		s.post(mfsched.WorkerListed{Worker: w})
-	}
-	for _, id := range gone {
-		s.post(mfsched.WorkerUnlisted{Worker: id})
-	}
-}
-
 // post hands an event to the loop.
 func (s *session) post(e mfsched.Event) {
 	select {
@@ -375,33 +247,6 @@
 	}
 }
 
-// commit stores progress together with the head row.
-func (s *session) commit(c mfsched.Commit) {
-	rows := s.journal.Write(c.Progress)
-	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.owner.Limits.LeaseTail()}
-	now := s.owner.Clock.Now()
-	head.Called, head.Largest = s.calledAgo(now), s.duties.largest
-	head.CalledBy = maps.Clone(s.duties.calledBy)
-	if pending, known := s.state.Pending(); known {
-		head.Counted, head.Pending, head.Waits = true, pending, s.state.Waits(now)
-	}
-	board := head
-	board.Read, board.Since = now, now
-	s.owner.board.Store(&board)
-	rows = append(rows, s.waveRows()...)
-	s.account.rows += len(rows)
-	s.duties.releasing, s.duties.waiting = s.duties.waiting, nil
-	s.inFlight, s.number, s.sent = true, c.Number, s.owner.Clock.Now()
-	go func() {
-		began := s.owner.Clock.Now()
-		err := s.chain.write(s.commits, head, rows)
-		if s.owner.Committed != nil {
-			s.owner.Committed(s.owner.Clock.Now().Sub(began))
-		}
-		s.written <- err
-	}()
-}
-
 func (s *session) decided(d mfsched.Decision) {
 	if s.owner.Decided != nil {
 		s.owner.Decided(d.Message)
