--- a/mfemulate/load_test.go
+++ b/mfemulate/load_test.go
@@ -91,7 +91,7 @@
 // among them are carried out seconds later.
 //
 // On a fifth of the deployment's machines and jobs, mean of two seeds: worth in time
-// 0.10 with a look at a time and runs stopped whose start had no answer, 0.72 with two
+// 0.10 with a look at a time and runs stopped whose start had no answer, 0.77 with two
 // looks and starts given again, 0.83 with no call lost.
 func TestLostCallsHoldLittleUp(t *testing.T) {
 	load, err := mfemulate.DecodeLoad("late.yaml", mfexample.Late)
@@ -103,5 +103,5 @@
 		worth += mfemulate.Play(load, limits(), seed, true).Worth / seeds
 	}
 	t.Logf("worth in time %.3f", worth)
-	assert.Assert(t, worth > 0.68)
+	assert.Assert(t, worth > 0.74)
 }
--- a/mfowner/account.go
+++ b/mfowner/account.go
@@ -29,6 +29,9 @@
 // there was no job.
 func (s *session) tellAccount(now time.Time) {
 	a := &s.account
+	if a.since.IsZero() {
+		a.since = now
+	}
 	a.rounds++
 	if now.Sub(a.since) < accountEvery {
 		return
--- a/mfowner/load_test.go
+++ b/mfowner/load_test.go
@@ -179,7 +179,8 @@
 // BenchmarkTurn has an owner of 800 workers run the height of a turn for some seconds:
 // 250 jobs a second, of two steps with six tasks. It tells the processor time of a
 // second, in which the stand-ins have their share, and the part of the tasks that were
-// done by the end.
+// done by the end. The share of the owner's loop in it, by a profile, was 0.18 of a core
+// with a round of decisions for each answer, and is 0.11 with one each 4 ms.
 func BenchmarkTurn(b *testing.B) {
 	const (
 		rate  = 250
--- a/mfrelay/server.go
+++ b/mfrelay/server.go
@@ -21,6 +21,11 @@
 // carried out.
 const mostOrders = 2000
 
+// ownerSilentAfter is after how long without a message an owner's session is closed. An
+// owner sends one each beatEvery; one that lost its power or was cut off ends nothing,
+// and its session would be kept for as long as this host runs.
+const ownerSilentAfter = 10 * time.Second
+
 // Server passes an owner's orders on to workers. The exported fields are set before Run.
 type Server struct {
 	Address string
@@ -127,6 +132,9 @@
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
 	for {
 		var batch mfwire.Batch
+		if err := stream.SetReadDeadline(time.Now().Add(ownerSilentAfter)); err != nil {
+			return trace.Wrap(err)
+		}
 		if err := options.UnmarshalFrom(reader, &batch); err != nil {
 			return trace.Wrap(err)
 		}
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -1,6 +1,10 @@
 package mfsched
 
-import "time"
+import (
+	"time"
+
+	"mothferry/mfjournal"
+)
 
 // Limits are the times and bounds that decisions keep to.
 type Limits struct {
@@ -66,9 +70,8 @@
 	// maxCommitJobs bounds the jobs of one commit: some 0.5 kB each of the 1 MB that a
 	// transaction takes, and short beside the time that it takes to be sent.
 	maxCommitJobs = 400
-	// maxCommitOwn bounds those of them that need a row of their own, of the 100 entries
-	// of a transaction.
-	maxCommitOwn = 60
+	// maxCommitOwn bounds those of them that need a row of their own.
+	maxCommitOwn = mfjournal.MaxOwn
 	// maxForget bounds the jobs forgotten at once: each has two rows in the
 	// inbox, and a transaction takes 100 entries.
 	maxForget = 45
--- a/mfsched/loss.go
+++ b/mfsched/loss.go
@@ -13,7 +13,7 @@
 // holds its whole job up, and half of all jobs with a dozen tasks have one. One notices
 // by usable workers that are far fewer than those listed while none of them has ended.
 // On the replay of late.yaml 0.09 of the worth was in time, 0.97 with no call lost; what
-// stands here brings 0.87 (three seeds).
+// stands here brings 0.94 (three seeds).
 
 // Figures for calls that are lost.
 const (
