Name in the log what a worker ran when its life ended

Cause looked for: whether tasks end their workers, or are bystanders of workers that crash for a reason of their own. The line told only how many tasks there were. The count of the line is in mothferry_decisions_total already. No decision changed.

--- /dev/null
+++ b/mfsched/borne_test.go
@@ -0,0 +1,32 @@
+package mfsched_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfsched"
+)
+
+// Workers crashed one after the other, with a dozen tasks each, and the log told only how
+// many tasks a life had had when it was over. Which of them had been ordered just before,
+// and which ones the worker had borne for long, had to be joined from hundreds of lines.
+// The line names the runs that the worker bore for the shortest time.
+func TestEndedLifeNamesItsNewestRuns(t *testing.T) {
+	s, _ := runningOn(t, "w")
+	s.pass(300 * time.Millisecond)
+	s.look("w", mothferry.LookReport{Running: []mothferry.RunningTask{{Task: mothferry.TaskName{Job: "j"}, Run: 1, Percent: 40}}})
+	s.submit("k", 1)
+	s.pass(50 * time.Millisecond)
+	taken[mfsched.Decision](s)
+	s.step(mfsched.WorkerOver{Worker: "w"})
+	for _, d := range taken[mfsched.Decision](s) {
+		if d.Message == "worker's life is over" {
+			assert.DeepEqual(t, d.Fields["newest"], []string{"k.0.0.0 run 1 sent 0ms", "j.0.0.0 run 1 running 340ms"})
+			return
+		}
+	}
+	t.Fatal("the end of the worker's life is not logged")
+}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -119,7 +119,7 @@
 	if !ok {
 		return
 	}
-	s.emit(Decision{Message: "worker's life is over", Worker: id, Fields: map[string]any{"tasks": len(w.tasks)}})
+	s.emit(Decision{Message: "worker's life is over", Worker: id, Fields: map[string]any{"tasks": len(w.tasks), "newest": w.newestRuns()}})
 	s.freeAll(w, now)
 	s.forgetWorker(w)
 }
