--- a/mfcommand/play.go
+++ b/mfcommand/play.go
@@ -60,19 +60,25 @@
 	Stops          int     `json:"stops"`
 	Looks          int     `json:"looks"`
 	Commits        int     `json:"commits"`
+	Crashes        int     `json:"crashes"`
+	Blameless      int     `json:"blameless"`
+	Broken         int     `json:"broken"`
 }
 
 func printPlay(e *Environment, output string, seed uint64, f mfemulate.Figures) error {
 	p := playFigures{
 		Seed: seed, Jobs: f.Jobs, InTime: f.InTime, Late: f.Late, TooLate: f.TooLate, Failed: f.Failed, Worth: f.Worth, Wide: f.Wide,
 		MachineSeconds: f.MachineSeconds, Moves: f.Moves, Starts: f.Starts, Stops: f.Stops, Looks: f.Looks, Commits: f.Commits,
+		Crashes: f.Crashes, Blameless: f.Blameless, Broken: f.Broken,
 	}
 	if output == outputJSON {
 		return trace.Wrap(json.NewEncoder(e.Out).Encode(p))
 	}
 	_, err := fmt.Fprintf(e.Out, "seed %d: %d jobs, %d in time, %d late, %d too late, %d failed\n"+
 		"  worth in time %.3f, of the widest tenth %.3f\n"+
-		"  %.0f machine-seconds in pools, %d moves; %d starts, %d stops, %d looks, %d commits\n",
-		p.Seed, p.Jobs, p.InTime, p.Late, p.TooLate, p.Failed, p.Worth, p.Wide, p.MachineSeconds, p.Moves, p.Starts, p.Stops, p.Looks, p.Commits)
+		"  %.0f machine-seconds in pools, %d moves; %d starts, %d stops, %d looks, %d commits\n"+
+		"  %d workers ended by tasks, %d jobs failed that have no such task, %d rules broken\n",
+		p.Seed, p.Jobs, p.InTime, p.Late, p.TooLate, p.Failed, p.Worth, p.Wide, p.MachineSeconds, p.Moves, p.Starts, p.Stops, p.Looks, p.Commits,
+		p.Crashes, p.Blameless, p.Broken)
 	return trace.Wrap(err)
 }
--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -73,8 +73,14 @@
 // Crash ends a machine's worker; another life begins a while later.
 func (w *World) Crash(index int, down time.Duration) {
 	m := w.machines[index%len(w.machines)]
-	if m.state != mothferry.MachineUp {
-		return
+	if m.state == mothferry.MachineUp {
+		w.crash(m, down)
+	}
+}
+
+func (w *World) crash(m *machine, down time.Duration) {
+	for name := range w.workers[m.life].running {
+		w.jobs[name.Job].crashes[name]++
 	}
 	w.end(m)
 	m.state, m.life = mothferry.MachineDown, ""
@@ -149,7 +155,16 @@
 	id := mothferry.JobID(fmt.Sprintf("%016x", len(w.order)+1))
 	s.Accepted = w.now
 	w.order = append(w.order, id)
-	w.jobs[id] = &caller{id: id, submission: s, state: mfjob.StateQueued, done: map[mothferry.TaskName]bool{}}
+	c := &caller{
+		id: id, submission: s, state: mfjob.StateQueued, done: map[mothferry.TaskName]bool{},
+		crashes: map[mothferry.TaskName]int{}, failures: map[mothferry.TaskName]int{},
+	}
+	if w.chance(w.Faults.CrashJob) {
+		w.Figures.Crashing++
+		step := w.Random.IntN(len(s.Steps))
+		c.crashing = &mothferry.TaskName{Job: id, Step: step, Index: w.Random.IntN(s.Steps[step].Count)}
+	}
+	w.jobs[id] = c
 	w.after(inboxDelay, func() { w.tell(mfsched.JobFound{Job: id, Submission: s}) })
 	return id
 }
--- a/mfemulate/history_test.go
+++ b/mfemulate/history_test.go
@@ -81,6 +81,11 @@
 }
 
 func history(seed uint64) *mfemulate.World {
+	return faultHistory(seed, func(*mfemulate.Faults) {})
+}
+
+// faultHistory plays the history of a seed with further faults.
+func faultHistory(seed uint64, further func(*mfemulate.Faults)) *mfemulate.World {
 	r := rand.New(rand.NewPCG(seed, 1))
 	rate := func(most float64) float64 {
 		if r.IntN(2) == 0 {
@@ -88,10 +93,12 @@
 		}
 		return r.Float64() * most
 	}
-	w := newWorld(seed, mfemulate.Faults{
+	faults := mfemulate.Faults{
 		LoseOrder: rate(0.05), LoseAnswer: rate(0.1), LateOrder: rate(0.1), LateBy: 8 * time.Second,
 		LoseCommit: rate(0.1), FailTask: rate(0.05),
-	}, r.IntN(2) == 0)
+	}
+	further(&faults)
+	w := newWorld(seed, faults, r.IntN(2) == 0)
 	const busy = 20 * time.Second
 	at := func() time.Duration { return time.Second + time.Duration(r.Int64N(int64(busy))) }
 	for range 60 {
@@ -125,7 +132,7 @@
 		i, d := r.IntN(13), time.Duration(r.Int64N(int64(8*time.Second)))
 		w.At(at(), func() { w.Silence(i, d) })
 	}
-	w.At(busy+8*time.Second, func() { w.Faults = mfemulate.Faults{} })
+	w.At(busy+8*time.Second, func() { w.Faults = mfemulate.Faults{CrashAfter: faults.CrashAfter, CrashDown: faults.CrashDown} })
 	w.Run(busy + 60*time.Second)
 	return w
 }
--- a/mfemulate/load.go
+++ b/mfemulate/load.go
@@ -29,6 +29,15 @@
 	// out up to LateBy later.
 	LateOrders float64       `yaml:"late_orders"`
 	LateBy     time.Duration `yaml:"late_by"`
+	// CrashJobs is the part of the jobs that have a task that ends each worker that
+	// starts it, CrashAfter its start; the worker is back CrashDown later.
+	CrashJobs  float64       `yaml:"crash_jobs"`
+	CrashAfter time.Duration `yaml:"crash_after"`
+	CrashDown  time.Duration `yaml:"crash_down"`
+}
+
+func (f LoadFaults) faults() Faults {
+	return Faults{LateOrder: f.LateOrders, LateBy: f.LateBy, CrashJob: f.CrashJobs, CrashAfter: f.CrashAfter, CrashDown: f.CrashDown}
 }
 
 // LoadService is one pool.
@@ -113,7 +122,7 @@
 // Play plays a load without faults and returns its figures.
 func Play(l Load, limits mfsched.Limits, seed uint64, moves bool) Figures {
 	w := &World{
-		Limits: limits, Faults: Faults{LateOrder: l.Faults.LateOrders, LateBy: l.Faults.LateBy}, Random: rand.New(rand.NewPCG(seed, 1)), Moves: moves,
+		Limits: limits, Faults: l.Faults.faults(), Random: rand.New(rand.NewPCG(seed, 1)), Moves: moves,
 		Queues: map[mothferry.QueueID]mfsched.Queue{}, Standby: map[mothferry.ServiceID]bool{},
 	}
 	for _, q := range l.Queues {
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -197,6 +197,9 @@
 		return
 	}
 	c.completed = w.now
+	if state == mfjob.StateFailed {
+		w.checkFailed(c)
+	}
 	if state != mfjob.StateCompleted {
 		return
 	}
--- a/mfemulate/sum.go
+++ b/mfemulate/sum.go
@@ -29,6 +29,7 @@
 func (w *World) Sum() Figures {
 	f := w.Figures
 	f.MachineSeconds = math.Round(f.MachineSeconds)
+	f.Broken = len(w.Broken)
 	byQueue := map[mothferry.QueueID][]result{}
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
 		c := w.jobs[id]
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -167,6 +167,7 @@
 	takes := o.world.duration(step)
 	r := &run{number: order.Run, step: step, begun: o.world.now, takes: takes, fails: o.world.chance(o.world.Faults.FailTask)}
 	o.running[order.Task] = r
+	o.world.crashLater(o, order.Task)
 	if !step.Lasting {
 		o.world.after(takes, func() { o.finish(order.Task, r) })
 	}
@@ -180,6 +181,7 @@
 	cause := mothferry.EndDone
 	if r.fails {
 		cause = mothferry.EndFailed
+		o.world.jobs[name.Job].failures[name]++
 	}
 	o.end(name, cause)
 }
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -36,6 +36,11 @@
 	LoseCommit float64
 	// FailTask: a run fails.
 	FailTask float64
+	// CrashJob: one task of a job ends each worker that starts it, CrashAfter later. The
+	// worker is back CrashDown after that.
+	CrashJob   float64
+	CrashAfter time.Duration
+	CrashDown  time.Duration
 }
 
 // Times of the model, as the platform's pages and bench days show them.
@@ -96,6 +101,13 @@
 	dropped bool
 	// done holds tasks of which a run has done its work.
 	done map[mothferry.TaskName]bool
+	// crashing is the task that ends each worker that starts it, if there is one.
+	crashing *mothferry.TaskName
+	// crashes counts the workers that have crashed while a task ran there, failures the
+	// runs of a task that ended failed.
+	crashes, failures map[mothferry.TaskName]int
+	// repeats counts the starts of the crashing task after crashBudget crashes.
+	repeats int
 }
 
 // Figures are what a run of the model measured.
@@ -116,6 +128,13 @@
 	Commits   int
 	Refused   int
 	Takeovers int
+	// Crashing counts the jobs that have a task that ends its workers, Crashes the
+	// workers that ended so, Blameless the jobs shown as failed without such a task.
+	Crashing  int
+	Crashes   int
+	Blameless int
+	// Broken counts what the checker found.
+	Broken int
 	// MachineSeconds is the time of machines in pools that are not on standby.
 	MachineSeconds float64
 	// Series holds a point each half second, for a plot.
--- a/mfexample/example.go
+++ b/mfexample/example.go
@@ -61,3 +61,8 @@
 //
 //go:embed loads/late.yaml
 var Late []byte
+
+// Crashing is the load of Turns while some jobs have a task that ends its workers.
+//
+//go:embed loads/crashing.yaml
+var Crashing []byte
