Keep the room of stray runs until they have surely ended

Cause: only what the scheduler meant to be at a worker was counted there. A run of a former owner, or one overtaken by another run of its task, is told to stop and takes up to 0.9 s for it; its room was given away at once. A worker that refuses what does not fit answers with a refusal; one that takes all has more on it than its room. Now such runs count until a look that was sent after the stop shows nothing of them.

Ruled out: tasks that are being stopped (they count until their end is known), and a room that shrinks (what the worker tells of itself counts; a test shows it).

--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -90,7 +90,7 @@
 func (s *State) roomFor(t *task, w *worker, most int) int {
 	most = min(most, perWorker(t.step.of.PerWorker)-s.stepTasksOn(t.step, w))
 	count := 0
-	for used := w.used; count < most; count++ {
+	for used := w.taken(); count < most; count++ {
 		if !suits(t, w, used) {
 			break
 		}
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -169,7 +169,7 @@
 	return bound
 }
 
-func (s *State) fits(t *task, w *worker) bool { return suits(t, w, w.used) }
+func (s *State) fits(t *task, w *worker) bool { return suits(t, w, w.taken()) }
 
 // suits reports whether a worker may run a task and has room for it if so much of
 // its capacity is used.
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -39,10 +39,7 @@
 			listed[r.Task] = true
 		}
 	}
-	if len(listed) == len(e.Report.Running) {
-		// No stray run is left: what was told to stop has ended.
-		clear(w.stray)
-	}
+	w.strayEnded(e.Report.Running, e.Sent)
 	for _, t := range w.pick(func(t *task) bool { return !listed[t.name] }) {
 		s.missing(w, t, e.Sent, now)
 	}
@@ -117,13 +114,22 @@
 // stopStray ends a run that should not be there: its job is over, or its task
 // was given up on this worker.
 func (s *State) stopStray(w *worker, r strayRun, now time.Time) {
-	if now.Sub(w.stray[r]) < stopRetry {
+	if now.Sub(w.stray[r].told) < stopRetry {
 		return
 	}
-	w.stray[r] = now
+	w.stray[r] = strayStop{told: now, room: s.roomOf(r.task)}
 	s.emit(Stop{At: w.at, Task: r.task, Run: r.run})
 }
 
+// roomOf returns the room that a task takes; none if its job is not known any more.
+func (s *State) roomOf(name mothferry.TaskName) mothferry.Resources {
+	t := s.lookUp(name)
+	if t == nil {
+		return mothferry.Resources{}
+	}
+	return t.step.of.Room()
+}
+
 func (s *State) stopAgain(t *task, now time.Time) {
 	if now.Sub(t.stopSent) >= stopRetry {
 		t.stopSent = now
@@ -199,7 +205,7 @@
 	case t.worker != nil && t.worker != w && t.phase != phasePlanned:
 		// A later run may be under way elsewhere, or its start may be carried out
 		// late: told to stop now, that worker refuses it.
-		s.emit(Stop{At: t.worker.at, Task: t.name, Run: t.run})
+		s.stopStray(t.worker, strayRun{task: t.name, run: t.run}, now)
 		t.worker.nextLook = now
 		s.finish(t)
 	default:
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -41,8 +41,8 @@
 	// seen is the last end whose effect is in the state, noted the last one
 	// whose effect is stored.
 	seen, noted mothferry.EndNumber
-	// stray holds when runs that should not be there were last told to stop.
-	stray map[strayRun]time.Time
+	// stray holds the runs that should not be there and have not surely ended.
+	stray map[strayRun]strayStop
 
 	// trial is the task that was last tried here for ending its workers, lapsed holds the
 	// runs whose leases ran out here since the worker last answered.
@@ -79,10 +79,40 @@
 	run  mothferry.RunNumber
 }
 
+// strayStop is when a stray run was last told to stop, and the room that it takes.
+type strayStop struct {
+	told time.Time
+	room mothferry.Resources
+}
+
+// taken is the room that tasks and stray runs take. A worker that does not refuse what
+// does not fit would have more on it than its room if the latter were left out.
+func (w *worker) taken() mothferry.Resources {
+	sum := w.used
+	for _, r := range w.stray {
+		sum = sum.Add(r.room)
+	}
+	return sum
+}
+
+// strayEnded forgets the stray runs that a look does not show which was sent after they
+// had been told to stop.
+func (w *worker) strayEnded(running []mothferry.RunningTask, looked time.Time) {
+	there := map[strayRun]bool{}
+	for _, r := range running {
+		there[strayRun{task: r.Task, run: r.Run}] = true
+	}
+	for r, stop := range w.stray {
+		if !there[r] && !stop.told.After(looked) {
+			delete(w.stray, r)
+		}
+	}
+}
+
 // placeholder stands for a life that an earlier owner gave work to and that is
 // not listed (yet).
 func (s *State) placeholder(id mothferry.WorkerID) *worker {
-	w := &worker{at: mothferry.WorkerAddress{Worker: id}, tasks: map[mothferry.TaskName]*task{}, stray: map[strayRun]time.Time{}}
+	w := &worker{at: mothferry.WorkerAddress{Worker: id}, tasks: map[mothferry.TaskName]*task{}, stray: map[strayRun]strayStop{}}
 	w.floor = s.Floor
 	s.workers[id] = w
 	at, _ := slices.BinarySearchFunc(s.roster, id, byID)
