--- a/mfsched/silent_test.go
+++ b/mfsched/silent_test.go
@@ -95,3 +95,30 @@
 	assert.Equal(t, stops[0].At.Worker, mothferry.WorkerID("w-2"))
 	assert.Equal(t, stops[0].Run, mothferry.RunNumber(2))
 }
+
+// A task that stands still wherever it runs was stopped and started again every 1.4 s, without
+// bound, with all its work lost each time. Its percentage may just be told too rarely. Each
+// stop doubles the time that it may stand still the next time.
+func TestTaskThatStandsStillEverywhereIsLeftMoreTime(t *testing.T) {
+	s, _ := runningOn(t, "w")
+	run, stops := mothferry.RunNumber(1), 0
+	for end := s.now.Add(20 * time.Second); s.now.Before(end); {
+		s.pass(50 * time.Millisecond)
+		for _, o := range taken[mfsched.Start](s) {
+			run = o.Order.Run
+			s.answerStart(o, mfsched.ResultDone, "")
+		}
+		report := mothferry.LookReport{Clock: mothferry.WorkerClock(s.now.Sub(start) + time.Hour)}
+		if stopped := taken[mfsched.Stop](s); len(stopped) > 0 {
+			stops++
+			report.Ended = []mothferry.EndedTask{{Number: mothferry.EndNumber(stops), Task: stopped[0].Task, Run: stopped[0].Run, Cause: mothferry.EndStopped}}
+		} else {
+			report.Running = []mothferry.RunningTask{{Task: mothferry.TaskName{Job: "j"}, Run: run, Percent: 10}}
+		}
+		for _, l := range taken[mfsched.Look](s) {
+			s.step(mfsched.LookAnswered{Worker: "w", Number: l.Number, Sent: s.now, Report: report})
+		}
+	}
+	assert.Assert(t, stops <= 4, "stopped %d times in 20 s", stops)
+	assert.Assert(t, stops > 1)
+}
