Leave tasks that stand still wherever they run more time with each stop

Cause: nothing remembered that a stop for standing still had brought nothing. Each one now doubles the time that the task may stand still, up to 32 times. Ruled out as a cause of loss on sick workers: the first stop comes as soon as before.

--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -78,7 +78,9 @@
 	percent   int
 	// advanced is when the percentage last changed.
 	advanced time.Time
-	tail     time.Duration
+	// unstuck counts the runs that were stopped because they stood still.
+	unstuck int
+	tail    time.Duration
 	// away is since when a lasting task is not at work.
 	away time.Time
 	// awayTold says that the log has been told that it is away.
--- a/mfsched/stuck.go
+++ b/mfsched/stuck.go
@@ -10,6 +10,10 @@
 	// a hundredth of a task still takes a fifth of that part.
 	stuckFor   = 1200 * time.Millisecond
 	stuckShare = 0.3
+	// stuckDoublings bounds the doubling of that time with each stop. A task that stands
+	// still wherever it runs would lose its work again and again; one that does so on sick
+	// workers has found a sound one after a stop or two.
+	stuckDoublings = 5
 )
 
 // unstick stops tasks that stand still, so that they start again elsewhere
@@ -25,6 +29,7 @@
 				"step": t.name.Step, "index": t.name.Index, "run": t.run, "percent": t.percent, "still_ms": now.Sub(t.advanced).Milliseconds(),
 			}})
 			t.avoid = w.at.Worker
+			t.unstuck++
 			s.stop(t, now)
 		}
 	}
@@ -41,5 +46,5 @@
 	// What the last look showed is as old as the look.
 	seen := t.worker.read
 	allowed := stuckFor + time.Duration(stuckShare*float64(of.Estimate))
-	return seen.Sub(t.advanced) > allowed
+	return seen.Sub(t.advanced) > allowed<<min(t.unstuck, stuckDoublings)
 }
