Go through a job's tasks in one place; take a step's room from the step

Four loops over occurrences, steps and tasks become one iterator, and the emulator's worker asks the step for its room instead of working it out again. No behaviour changes; tests and histories pass.

--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -202,17 +202,9 @@
 func (o *worker) fits(step *mfjob.Step) bool {
 	used := mothferry.Resources{}
 	for _, r := range o.running {
-		need := r.step.Need
-		if r.step.Fills {
-			need.Cores = 0
-		}
-		used = used.Add(need)
-	}
-	need := step.Need
-	if step.Fills {
-		need.Cores = 0
+		used = used.Add(r.step.Room())
 	}
-	return need.Fits(o.listing.Capacity.Sub(used))
+	return step.Room().Fits(o.listing.Capacity.Sub(used))
 }
 
 // stop carries an order to stop out. A run that is not there is refused later.
--- a/mfsched/away.go
+++ b/mfsched/away.go
@@ -9,12 +9,8 @@
 		if !j.submission.Lasts() {
 			continue
 		}
-		for _, o := range j.occurrences {
-			for _, p := range o.steps {
-				for _, t := range p.tasks {
-					s.noteTaskAway(t, now)
-				}
-			}
+		for t := range j.tasks() {
+			s.noteTaskAway(t, now)
 		}
 	}
 }
--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -73,13 +73,9 @@
 		if !j.submission.Lasts() || s.queueOf(j).Service != service {
 			continue
 		}
-		for _, o := range j.occurrences {
-			for _, p := range o.steps {
-				for _, t := range p.tasks {
-					if t.phase == phaseWaiting || t.phase == phaseStopping {
-						count++
-					}
-				}
+		for t := range j.tasks() {
+			if t.phase == phaseWaiting || t.phase == phaseStopping {
+				count++
 			}
 		}
 	}
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -1,6 +1,7 @@
 package mfsched
 
 import (
+	"iter"
 	"time"
 
 	"mothferry"
@@ -35,6 +36,21 @@
 	}
 }
 
+// tasks iterates over the tasks of all occurrences and steps, in order.
+func (j *job) tasks() iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for _, o := range j.occurrences {
+			for _, p := range o.steps {
+				for _, t := range p.tasks {
+					if !yield(t) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 func newOccurrence(j *job, number int, now time.Time) *occurrence {
 	o := &occurrence{}
 	if j.submission.Repeat > 0 {
@@ -155,13 +171,9 @@
 	s.touch(j)
 	delete(s.live, j.id)
 	s.ended = append(s.ended, j)
-	for _, o := range j.occurrences {
-		for _, p := range o.steps {
-			for _, t := range p.tasks {
-				if t.assigned() {
-					s.stop(t, now)
-				}
-			}
+	for t := range j.tasks() {
+		if t.assigned() {
+			s.stop(t, now)
 		}
 	}
 	s.emit(Decision{Message: "job is over", Job: j.id, Fields: map[string]any{
--- a/mfsched/over.go
+++ b/mfsched/over.go
@@ -99,13 +99,9 @@
 }
 
 func stillRuns(j *job) bool {
-	for _, o := range j.occurrences {
-		for _, p := range o.steps {
-			for _, t := range p.tasks {
-				if t.assigned() {
-					return true
-				}
-			}
+	for t := range j.tasks() {
+		if t.assigned() {
+			return true
 		}
 	}
 	return false
