Show in a test that the shard's log is not bounded in bytes

Symptom: a successor on a link of 2 Mbit/s reads 62 segments of up to 48 kB for twelve seconds and loses the shard before that. Cause: the log is bounded by its number of segments; a slow owner has few commits with many changes each.

--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -145,3 +145,28 @@
 	_, _, err := mfjournal.Read(nil, []mothferry.Row{{Key: mfrecord.LogKey(1), Value: []byte(`{"format":2}`)}})
 	assert.ErrorType(t, err, &mfjournal.ErrNewerFormat{})
 }
+
+// A successor on a link of 2 Mbit/s never got to run its shard: the log had 62 segments of up
+// to 48 kB, as a slow owner has few commits with many changes each, and reading them took twelve
+// seconds. The log is bounded in bytes as well as in segments.
+func TestLogIsBoundedInBytes(t *testing.T) {
+	j := &mfjournal.Journal{}
+	stored := newStore()
+	for round := range 300 {
+		// Each round has a job that then lasts, and keeps its segment from being deleted.
+		lasts := mothferry.JobID(fmt.Sprintf("lasts-%03d", round))
+		stored.apply(t, j.Write(map[mothferry.JobID]mfjob.Progress{lasts: progress(1, 2)}))
+		changed := map[mothferry.JobID]mfjob.Progress{lasts: progress(2, 2)}
+		for i := range 60 {
+			changed[mothferry.JobID(fmt.Sprintf("j-%03d", (round*60+i)%200))] = progress(round+1, 24)
+		}
+		stored.apply(t, j.Write(changed))
+	}
+	size := 0
+	for _, value := range stored[mfrecord.TableLog] {
+		size += len(value)
+	}
+	assert.Assert(t, size < 400_000, "%d bytes", size)
+	got, _ := stored.read(t)
+	assert.Equal(t, len(got), 500)
+}
