Read a shard in pages that fit the link, and keep it meanwhile

Causes: a page of rows that takes longer than a call may was asked for again as it was; an owner stored nothing while it read its shard, so that the next host took it after 0.8 s; the log was bounded by segments, not by bytes. Now pages shrink when a read fails, and begin with what the link carries in a quarter of a second; the head is rewritten each 0.25 s while the shard is read and decoded; the log is bounded by what the owner's link carries in a second.

Tests: TestShardIsReadOverANarrowLink, TestShardIsKeptWhileItIsRead (9 takeovers in 10 s before), TestLogIsBoundedInBytes (1,723,904 bytes before, under 400,000 now), off the list; TestPagesFitTheLink is new.

Ruled out: the processor of the hosts (the rewrites wait in the link, reads time out at 0.9 s).

--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -26,8 +26,10 @@
 const (
 	shortestPause = 50 * time.Millisecond
 	longestPause  = 250 * time.Millisecond
-	// pageRows is how many rows one read asks for.
+	// pageRows is how many rows one read asks for. One that has no answer may have asked for
+	// more than the link carries in the time of a call: the next asks for a part of that.
 	pageRows = 500
+	pagePart = 4
 )
 
 // Follower keeps up with one table. The exported fields are set before Run.
@@ -161,16 +163,20 @@
 }
 
 // ReadAll reads all rows of a range, page by page, and returns the store's
-// version at the first page: changes from there on are not missed.
+// version at the first page: changes from there on are not missed. A limit in q bounds
+// the rows of a page.
 func ReadAll(ctx context.Context, store mothferry.RowStore, q mothferry.RowRange) ([]mothferry.Row, mothferry.Version, error) {
 	var rows []mothferry.Row
 	var version mothferry.Version
-	q.Limit = pageRows
+	if q.Limit == 0 {
+		q.Limit = pageRows
+	}
 	for first := true; ; first = false {
-		page, err := store.Range(ctx, q)
+		page, limit, err := readPage(ctx, store, q)
 		if err != nil {
 			return nil, 0, err
 		}
+		q.Limit = limit
 		if first {
 			version = page.Version
 		}
@@ -181,3 +187,18 @@
 		q.From = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 }
+
+// readPage reads one page and returns how many rows the next one should ask for.
+//
+// What goes wrong: a page takes longer on a narrow link than a call may, and is asked for
+// again as it is, for good. One notices by reads without answer, or without a connection, as
+// what is left of the last one fills the link, while small ones have theirs.
+func readPage(ctx context.Context, store mothferry.RowStore, q mothferry.RowRange) (mothferry.RowPage, int, error) {
+	for {
+		page, err := store.Range(ctx, q)
+		if err == nil || q.Limit <= 1 || ctx.Err() != nil {
+			return page, q.Limit, err
+		}
+		q.Limit = max(1, q.Limit/pagePart)
+	}
+}
--- a/mfjournal/journal.go
+++ b/mfjournal/journal.go
@@ -55,6 +55,11 @@
 // Journal knows where the newest progress of each job is stored. The zero value is that
 // of a shard without jobs. It counts on each of its writes being stored before the next.
 type Journal struct {
+	// MaxLog bounds the log in bytes; zero for no bound but that of segments. An owner whose
+	// link is narrow has few commits with many changes each, and a successor on such a link
+	// takes seconds to read them.
+	MaxLog mothferry.Bytes
+
 	// last is the number of the newest segment; zero for none.
 	last uint64
 	// jobs holds where the newest progress is of each job that is not over.
@@ -63,6 +68,8 @@
 	live map[uint64]map[mothferry.JobID]*entry
 	// oldest is the number of the oldest segment that is still stored.
 	oldest uint64
+	// sizes holds the bytes of each segment that is still stored.
+	sizes map[uint64]mothferry.Bytes
 }
 
 // entry is the newest progress of one job.
@@ -83,7 +90,7 @@
 // than MaxOwn of the jobs need rows of their own.
 func (j *Journal) Write(changed map[mothferry.JobID]mfjob.Progress) []mothferry.Write {
 	if j.jobs == nil {
-		j.jobs, j.live = map[mothferry.JobID]*entry{}, map[uint64]map[mothferry.JobID]*entry{}
+		j.jobs, j.live, j.sizes = map[mothferry.JobID]*entry{}, map[uint64]map[mothferry.JobID]*entry{}, map[uint64]mothferry.Bytes{}
 	}
 	var rows []mothferry.Write
 	s := &segment{}
@@ -134,14 +141,22 @@
 		at[id] = e
 	}
 	j.live[j.last] = at
-	return mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(j.last), Value: s.value()}
+	value := s.value()
+	j.sizes[j.last] = mothferry.Bytes(len(value))
+	return mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(j.last), Value: value}
 }
 
 // moveOld writes jobs of the oldest segments to their own rows if there are too many
-// segments.
+// segments, or too many bytes in them.
 func (j *Journal) moveOld(changed map[mothferry.JobID]mfjob.Progress) []mothferry.Write {
 	var rows []mothferry.Write
-	for n := j.oldest; n != 0 && n+segments <= j.last && len(rows) < moved; n++ {
+	size := mothferry.Bytes(0)
+	for _, bytes := range j.sizes {
+		size += bytes
+	}
+	tooLarge := func(n uint64) bool { return j.MaxLog > 0 && size > j.MaxLog && n <= j.last }
+	for n := j.oldest; n != 0 && (n+segments <= j.last || tooLarge(n)) && len(rows) < moved; n++ {
+		size -= j.sizes[n]
 		for _, id := range slices.Sorted(maps.Keys(j.live[n])) {
 			if len(rows) >= moved {
 				break
@@ -163,6 +178,7 @@
 	var rows []mothferry.Write
 	for j.oldest != 0 && j.oldest <= j.last && len(j.live[j.oldest]) == 0 && len(rows) < most {
 		delete(j.live, j.oldest)
+		delete(j.sizes, j.oldest)
 		rows = append(rows, mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(j.oldest), Delete: true})
 		j.oldest++
 	}
@@ -202,7 +218,7 @@
 // Read takes in what is stored of a shard: the rows of its jobs and of its log. It
 // returns the newest progress of each job and the journal to go on with.
 func Read(own, log []mothferry.Row) (map[mothferry.JobID]mfjob.Progress, *Journal, error) {
-	j := &Journal{jobs: map[mothferry.JobID]*entry{}, live: map[uint64]map[mothferry.JobID]*entry{}}
+	j := &Journal{jobs: map[mothferry.JobID]*entry{}, live: map[uint64]map[mothferry.JobID]*entry{}, sizes: map[uint64]mothferry.Bytes{}}
 	newest := map[mothferry.JobID]mfjob.Progress{}
 	after := map[mothferry.JobID]uint64{}
 	for _, r := range own {
@@ -247,6 +263,7 @@
 		j.oldest = number
 	}
 	j.live[number] = map[mothferry.JobID]*entry{}
+	j.sizes[number] = mothferry.Bytes(len(r.Value))
 	for id, data := range stored.Jobs {
 		// A job whose row is newer, is over, or was forgotten needs nothing of the log.
 		e, open := j.jobs[id]
--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -150,7 +150,7 @@
 // to 48 kB, as a slow owner has few commits with many changes each, and reading them took twelve
 // seconds. The log is bounded in bytes as well as in segments.
 func TestLogIsBoundedInBytes(t *testing.T) {
-	j := &mfjournal.Journal{}
+	j := &mfjournal.Journal{MaxLog: 256 * mothferry.Kibibyte}
 	stored := newStore()
 	for round := range 300 {
 		// Each round has a job that then lasts, and keeps its segment from being deleted.
--- a/mfowner/narrow_test.go
+++ b/mfowner/narrow_test.go
@@ -105,3 +105,13 @@
 	assert.Equal(t, told["progress is read"], 1, "%v", told)
 	assert.Equal(t, told["shard is taken over"], 1, "%v", told)
 }
+
+// Reads ask for no more than a quarter of a second's worth of a link, so that the head can be
+// rewritten beside them, and a wide link has all of the log in one read.
+func TestPagesFitTheLink(t *testing.T) {
+	assert.Equal(t, pageRows(0, logRowBytes), 0)
+	assert.Equal(t, pageRows(2*mothferry.MegabitPerSecond, logRowBytes), 1)
+	assert.Equal(t, pageRows(2*mothferry.MegabitPerSecond, jobRowBytes), 122)
+	assert.Assert(t, pageRows(200*mothferry.MegabitPerSecond, logRowBytes) >= 64)
+	assert.Equal(t, pageRows(200*mothferry.MegabitPerSecond, jobRowBytes), mostPageRows)
+}
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -46,7 +46,9 @@
 	Config func() *mfqueue.Config
 	Limits mfsched.Limits
 	// Cores is this host's share of processors.
-	Cores  mothferry.Millicores
+	Cores mothferry.Millicores
+	// Link is what this host's link carries; zero if that is not known.
+	Link   mothferry.Bandwidth
 	Clock  mothferry.Clock
 	Random mothferry.Random
 	Log    *log.Entry
--- a/mfowner/restore.go
+++ b/mfowner/restore.go
@@ -1,7 +1,11 @@
 package mfowner
 
 import (
+	"context"
+	"time"
+
 	"mothferry"
+	"mothferry/mfclock"
 	"mothferry/mffeed"
 	"mothferry/mfjob"
 	"mothferry/mfjournal"
@@ -9,54 +13,128 @@
 	"mothferry/mfsched"
 )
 
+// Times of reading what earlier owners stored.
+const (
+	// keepEvery is how often an owner rewrites the head while it reads its shard. What goes
+	// wrong otherwise: reading takes longer than the others wait for an owner that stores
+	// nothing, each takes the shard from the one before, and none ever runs it. One notices
+	// by takeovers that follow one another without a "progress is read".
+	keepEvery = 250 * time.Millisecond
+	// readWithin is in how many seconds a link as wide as the owner's carries the shard's log.
+	readWithin = 1
+	bitsOfByte = 8
+	// pageTakes is the part of a second that a page may take on the owner's link, with rows
+	// of the log of up to 48 kB and rows of jobs of half a kilobyte: rewrites of the head have
+	// to get through beside it.
+	pageTakes    = 4
+	logRowBytes  = 48 << 10
+	jobRowBytes  = 512
+	mostPageRows = 500
+	// readAgain is the pause after a read that failed.
+	readAgain = 100 * time.Millisecond
+)
+
+// inheritance is what earlier owners stored of a shard.
+type inheritance struct {
+	waves []mothferry.Row
+	// jobs counts the jobs that have a row, segments the rows of the log.
+	jobs, segments int
+	newest         map[mothferry.JobID]mfjob.Progress
+	journal        *mfjournal.Journal
+}
+
 // load reads what earlier owners stored. It is read after the shard was taken
 // over, so that nothing can be added by them any more.
 func (s *session) load() error {
-	waves, err := s.readShard(mfrecord.TableOwner)
+	in, err := s.inheritance()
 	if err != nil {
 		return err
 	}
-	if err := s.restoreWaves(waves); err != nil {
+	if err := s.restoreWaves(in.waves); err != nil {
 		return err
 	}
-	rows, err := s.readShard(mfrecord.TableProgress)
-	if err != nil {
-		return err
-	}
-	segments, err := s.readShard(mfrecord.TableLog)
-	if err != nil {
-		return err
-	}
-	newest, journal, err := mfjournal.Read(rows, segments)
-	if err != nil {
-		return err
-	}
-	s.journal = journal
+	s.journal = in.journal
+	s.journal.MaxLog = mothferry.Bytes(s.owner.Link/bitsOfByte) * readWithin
 	s.progress = map[mothferry.JobID]*mfjob.Progress{}
 	over := 0
-	for id, p := range newest {
+	for id, p := range in.newest {
 		if p.State.Final() {
 			over++
 			s.step(mfsched.JobOver{Job: id, State: p.State})
 		}
 		s.progress[id] = &p
 	}
-	s.owner.Log.WithField("jobs", len(rows)).WithField("over", over).WithField("segments", len(segments)).Info("progress is read")
+	s.owner.Log.WithField("jobs", in.jobs).WithField("over", over).WithField("segments", in.segments).Info("progress is read")
 	return nil
 }
 
-// readShard reads a table's rows of the shard. It tries until the store
-// answers: the shard is this host's until another one takes it, which the next
-// commit shows.
-func (s *session) readShard(table mothferry.TableID) ([]mothferry.Row, error) {
+// inheritance reads the shard and keeps it meanwhile. It fails once another host has it.
+func (s *session) inheritance() (inheritance, error) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	type result struct {
+		in  inheritance
+		err error
+	}
+	read := make(chan result, 1)
+	go func() {
+		in, err := s.readShard(ctx)
+		read <- result{in, err}
+	}()
+	for {
+		select {
+		case r := <-read:
+			return r.in, r.err
+		case <-s.owner.Clock.After(keepEvery):
+		}
+		sent := s.owner.Clock.Now()
+		if err := s.chain.write(s.ctx, s.chain.head, nil); err != nil {
+			return inheritance{}, err
+		}
+		s.confirmed = sent
+	}
+}
+
+// readShard reads and decodes what is stored of the shard.
+func (s *session) readShard(ctx context.Context) (inheritance, error) {
+	var in inheritance
+	waves, err := s.readTable(ctx, mfrecord.TableOwner, jobRowBytes)
+	if err != nil {
+		return in, err
+	}
+	rows, err := s.readTable(ctx, mfrecord.TableProgress, jobRowBytes)
+	if err != nil {
+		return in, err
+	}
+	segments, err := s.readTable(ctx, mfrecord.TableLog, logRowBytes)
+	if err != nil {
+		return in, err
+	}
+	in.waves, in.jobs, in.segments = waves, len(rows), len(segments)
+	in.newest, in.journal, err = mfjournal.Read(rows, segments)
+	return in, err
+}
+
+// readTable reads a table's rows of the shard. It tries until the store answers: the
+// shard is this host's until another one takes it, which the next rewrite of the head shows.
+func (s *session) readTable(ctx context.Context, table mothferry.TableID, rowBytes int) ([]mothferry.Row, error) {
+	page := pageRows(s.owner.Link, rowBytes)
 	for {
-		rows, _, err := mffeed.ReadAll(s.ctx, s.owner.Store, mothferry.RowRange{Table: table, Part: mfrecord.PartShard})
+		rows, _, err := mffeed.ReadAll(ctx, s.owner.Store, mothferry.RowRange{Table: table, Part: mfrecord.PartShard, Limit: page})
 		if err == nil {
 			return rows, nil
 		}
-		s.owner.Log.WithError(err).Warn("the shard can't be read, trying again")
-		if err := s.chain.write(s.ctx, s.chain.head, nil); err != nil {
-			return nil, err
+		s.owner.Log.WithError(err).WithField("table", table).Warn("the shard can't be read, trying again")
+		if !mfclock.Sleep(ctx, s.owner.Clock, readAgain) {
+			return nil, ctx.Err()
 		}
 	}
 }
+
+// pageRows is how many rows one read asks for over a link; zero if that is not known.
+func pageRows(link mothferry.Bandwidth, rowBytes int) int {
+	if link <= 0 {
+		return 0
+	}
+	return min(mostPageRows, max(1, int(link)/bitsOfByte/pageTakes/rowBytes))
+}
