--- a/mfsched/crash_test.go
+++ b/mfsched/crash_test.go
@@ -216,3 +216,27 @@
 	s.crash("w-0", "w-1")
 	assert.DeepEqual(t, s.over(mfjob.StateFailed), []mothferry.JobID{"j"})
 }
+
+// A worker that was silent for long is found to have crashed after the jobs that lapsed there
+// are over and forgotten. Counted against them, the crash had their rows written anew, for good.
+func TestCrashStoresNothingOfJobsThatAreOver(t *testing.T) {
+	s, _ := runningOn(t, "w")
+	for range 120 {
+		s.pass(50 * time.Millisecond)
+		for _, l := range taken[mfsched.Look](s) {
+			s.step(mfsched.LookFailed{Worker: "w", Number: l.Number, Sent: s.now, Result: mfsched.ResultUnknown})
+		}
+	}
+	s.step(mfsched.CancelFound{Job: "j"})
+	s.pass(limits().KeepFinal + time.Second)
+	taken[mfsched.Commit](s)
+	s.step(mfsched.WorkerOver{Worker: "w", Cause: mfsched.LifeCrashed})
+	for range 100 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.step(mfsched.Tick{})
+		for _, c := range taken[mfsched.Commit](s) {
+			assert.Equal(t, len(c.Progress), 0, "%v", c.Progress)
+			s.step(mfsched.CommitDone{Number: c.Number})
+		}
+	}
+}
