Store nothing of jobs that are over when a crash becomes known late

Cause: the crash was counted against all that had run or lapsed at the worker, also of jobs that were over, and counting marks a job as changed. Runs of such jobs are left out now.

--- a/mfsched/crash.go
+++ b/mfsched/crash.go
@@ -88,7 +88,9 @@
 		}
 		runs = append(runs, r)
 		t.crashes.Unseen++
-		s.touch(t.job)
+		if !t.job.state.Final() {
+			s.touch(t.job)
+		}
 	}
 	// What is emptied, or has announced that it leaves, may have ended for that.
 	if cause == LifeCrashed && (w.Draining || s.leaving[w.at.Worker]) {
@@ -104,6 +106,10 @@
 func (s *State) resolve(id mothferry.WorkerID, cause LifeEnd) []*task {
 	var guilty []*task
 	for _, r := range s.doubtful[id].runs {
+		// A job that is over may be forgotten already: its row must not be written anew.
+		if r.task.job.state.Final() {
+			continue
+		}
 		if cause != LifeUnknown {
 			r.ended(cause)
 			s.touch(r.task.job)
