--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -98,6 +98,9 @@
 // strayEnded forgets the stray runs that a look does not show which was sent after they
 // had been told to stop.
 func (w *worker) strayEnded(running []mothferry.RunningTask, looked time.Time) {
+	if len(w.stray) == 0 {
+		return
+	}
 	there := map[strayRun]bool{}
 	for _, r := range running {
 		there[strayRun{task: r.Task, run: r.Run}] = true
