Count a comparison of placements only if what is newer came

Cause: catching up after a pause counted as done once a peer had answered, whether or not the newer placements that it told of could be fetched; under load they came after the part of the time that a peer has. The next peer, or the table, is asked now. TestPlacementsThatDidNotComeAreNotConfirmed fails without it. mffollow is part of the product's own interface; the fleet's program does not use it. Whether it is what TestLeavingGetsNoNewWork met is suspected; the log of that run shows no more.

--- a/mffollow/fresh.go
+++ b/mffollow/fresh.go
@@ -61,7 +61,8 @@
 }
 
 // compare swaps heartbeats with a peer, adopts what it has newer, and reports
-// whether the peer replied in time.
+// whether all of that came in time. Old placements would count as confirmed otherwise, and
+// a daemon that was paused would send requests to runners that have left.
 func (f *Follower) compare(ctx context.Context, p mfpeer.Peer, bound time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
@@ -69,8 +70,7 @@
 	if err != nil {
 		return false
 	}
-	f.adoptNewer(ctx, p, status)
-	return true
+	return f.adoptNewer(ctx, p, status)
 }
 
 func (f *Follower) nearPeers() []mfpeer.Peer {
@@ -83,19 +83,25 @@
 	return near
 }
 
-// adoptNewer fetches the placements that a peer has newer, and waits for them.
-func (f *Follower) adoptNewer(ctx context.Context, p mfpeer.Peer, s mfpeer.Status) {
+// adoptNewer fetches the placements that a peer has newer, and reports whether all came.
+func (f *Follower) adoptNewer(ctx context.Context, p mfpeer.Peer, s mfpeer.Status) bool {
 	current := f.Store.Current()
+	all := true
 	for pool, k := range s.Shards {
 		if k.Generation > current.Placements[pool].Generation {
-			f.adoptPlacement(ctx, p, pool)
+			all = f.adoptPlacement(ctx, p, pool) && all
 		}
 	}
+	return all
 }
 
-func (f *Follower) adoptPlacement(ctx context.Context, p mfpeer.Peer, pool mothferry.PoolID) {
+// adoptPlacement fetches a placement from a peer and reports whether it came.
+func (f *Follower) adoptPlacement(ctx context.Context, p mfpeer.Peer, pool mothferry.PoolID) bool {
 	record, err := f.Mesh.Placement(ctx, p.Daemon, pool)
-	if err == nil && record.DataCentre == f.DataCentre {
-		f.Store.AdoptPlacement(record)
+	if err != nil || record.DataCentre != f.DataCentre {
+		f.Log.WithError(err).WithField("peer", p.Daemon).WithField("pool", pool).Debug("Placement did not come.")
+		return false
 	}
+	f.Store.AdoptPlacement(record)
+	return true
 }
