--- /dev/null
+++ b/mfemulate/account.go
@@ -0,0 +1,81 @@
+package mfemulate
+
+import (
+	"maps"
+	"time"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// limitOverage is by how much an account may be over its limit, beyond one task.
+const limitOverage = 0.1
+
+// configWithin is how long a change of the config takes to be in force.
+const configWithin = time.Second
+
+// SetAccounts changes the client accounts. Until the change is surely in force the higher
+// limit of both counts.
+func (w *World) SetAccounts(accounts map[mothferry.AccountID]mfsched.Account) {
+	former := maps.Clone(w.limits)
+	for id, a := range accounts {
+		w.limits[id] = higher(former[id], a.Most)
+	}
+	w.Accounts = accounts
+	w.after(time.Duration(w.Random.Float64()*float64(configWithin)), func() {
+		w.tell(mfsched.ConfigChanged{Queues: w.Queues, Accounts: accounts})
+	})
+	w.after(configWithin, func() {
+		for id, a := range w.Accounts {
+			w.limits[id] = a.Most
+		}
+	})
+}
+
+// higher returns the larger of two limits; zero is none.
+func higher(a, b mothferry.Resources) mothferry.Resources {
+	return mothferry.Resources{
+		Cores: higherOf(a.Cores, b.Cores), Memory: higherOf(a.Memory, b.Memory), Accelerators: higherOf(a.Accelerators, b.Accelerators),
+	}
+}
+
+func higherOf[N ~int64](a, b N) N {
+	if a == 0 || b == 0 {
+		return 0
+	}
+	return max(a, b)
+}
+
+// checkAccount watches that a start does not bring its account over its limit by more
+// than the overage and one task.
+func (w *World) checkAccount(c *caller, step *mfjob.Step) {
+	id := c.submission.Account
+	if id == "" {
+		return
+	}
+	held, most := w.heldBy(id), w.limits[id]
+	over := beyond(float64(held.Cores), float64(most.Cores)) || beyond(float64(held.Memory), float64(most.Memory)) ||
+		beyond(float64(held.Accelerators), float64(most.Accelerators))
+	if over {
+		w.broken("account %s has %+v running, it may have %+v, and one more task of %+v starts", id, held, most, step.Need)
+	}
+}
+
+func beyond(held, most float64) bool { return most > 0 && held > most*(1+limitOverage) }
+
+// heldBy is what runs of an account.
+func (w *World) heldBy(id mothferry.AccountID) mothferry.Resources {
+	sum := mothferry.Resources{}
+	for _, k := range w.workers {
+		if k.over {
+			continue
+		}
+		for name, r := range k.running {
+			if w.jobs[name.Job].submission.Account == id {
+				sum = sum.Add(r.step.Need)
+			}
+		}
+	}
+	return sum
+}
--- a/mfemulate/history_test.go
+++ b/mfemulate/history_test.go
@@ -86,6 +86,12 @@
 
 // faultHistory plays the history of a seed with further faults.
 func faultHistory(seed uint64, further func(*mfemulate.Faults)) *mfemulate.World {
+	return newHistory(seed, further, nil)
+}
+
+// newHistory plays the history of a seed with further faults; with accounts, each second
+// job belongs to one of three.
+func newHistory(seed uint64, further func(*mfemulate.Faults), withAccounts func(*mfemulate.World)) *mfemulate.World {
 	r := rand.New(rand.NewPCG(seed, 1))
 	rate := func(most float64) float64 {
 		if r.IntN(2) == 0 {
@@ -99,6 +105,9 @@
 	}
 	further(&faults)
 	w := newWorld(seed, faults, r.IntN(2) == 0)
+	if withAccounts != nil {
+		withAccounts(w)
+	}
 	const busy = 20 * time.Second
 	at := func() time.Duration { return time.Second + time.Duration(r.Int64N(int64(busy))) }
 	for range 60 {
@@ -107,6 +116,9 @@
 			s = job(r, "qb", "b")
 		}
 		d := at()
+		if withAccounts != nil {
+			s.Account = []mothferry.AccountID{"x", "y", "z", ""}[r.IntN(4)]
+		}
 		w.At(d, func() {
 			id := w.Submit(s)
 			if s.Steps[0].Count == 3 {
@@ -114,7 +126,11 @@
 			}
 		})
 	}
-	w.At(500*time.Millisecond, func() { w.Submit(lasting("qa", "a")) })
+	lasts := lasting("qa", "a")
+	if withAccounts != nil {
+		lasts.Account = "x"
+	}
+	w.At(500*time.Millisecond, func() { w.Submit(lasts) })
 	for range r.IntN(3) {
 		w.At(at(), func() { w.Kill(1700 * time.Millisecond) })
 	}
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -35,7 +35,7 @@
 	w.Figures.Takeovers++
 	o := &owner{world: w, epoch: w.epoch, state: mfsched.New(w.Limits, w.epoch, w.now, w.now.Add(w.Limits.LeaseTail())), duty: mfduty.New(), taken: w.now}
 	w.owner = o
-	o.step(mfsched.ConfigChanged{Queues: w.Queues})
+	o.step(mfsched.ConfigChanged{Queues: w.Queues, Accounts: w.Accounts})
 	for _, id := range w.order {
 		c := w.jobs[id]
 		p, known := w.progress[id]
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -247,6 +247,7 @@
 	if !w.late && c.done[order.Task] && !step.Lasting && w.noted(order.Task) {
 		w.broken("task %v run %d starts after it was done", order.Task, order.Run)
 	}
+	w.checkAccount(c, &step)
 	for _, a := range step.After {
 		for x := range c.submission.Steps[a].Count {
 			before := order.Task
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -61,6 +61,8 @@
 	Faults Faults
 	Random *rand.Rand
 	Queues map[mothferry.QueueID]mfsched.Queue
+	// Accounts are the client accounts; SetAccounts changes them while the world runs.
+	Accounts map[mothferry.AccountID]mfsched.Account
 	// Standby holds the pools whose machines are off.
 	Standby map[mothferry.ServiceID]bool
 	// Moves says that duties run: machines move between pools.
@@ -80,6 +82,8 @@
 	begun    map[mothferry.TaskName][]*worker
 	machines []*machine
 	lives    int
+	// limits holds what each account may have running by any config that may be in force.
+	limits map[mothferry.AccountID]mothferry.Resources
 	// late says that an order is carried out that its worker has held back.
 	late bool
 	// Figures is filled while the world runs.
@@ -190,6 +194,10 @@
 	w.jobs = map[mothferry.JobID]*caller{}
 	w.workers = map[mothferry.WorkerID]*worker{}
 	w.begun = map[mothferry.TaskName][]*worker{}
+	w.limits = map[mothferry.AccountID]mothferry.Resources{}
+	for id, a := range w.Accounts {
+		w.limits[id] = a.Most
+	}
 	w.TakeOver()
 	w.every(500*time.Millisecond, w.sample)
 }
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -202,7 +202,7 @@
 		return
 	}
 	s.config = c
-	e := mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{}, Services: map[mothferry.ServiceID]bool{}}
+	e := mfsched.ConfigChanged{Queues: map[mothferry.QueueID]mfsched.Queue{}, Services: map[mothferry.ServiceID]bool{}, Accounts: map[mothferry.AccountID]mfsched.Account{}}
 	s.duties.standby = map[mothferry.ServiceID]bool{}
 	for _, q := range c.Queues {
 		e.Services[q.Service] = true
@@ -211,6 +211,9 @@
 			Stretch: q.Stretch, Latency: q.Latency, Advised: q.Advised,
 		}
 	}
+	for id, a := range c.Accounts.Accounts() {
+		e.Accounts[id] = mfsched.Account{Weight: a.Weight, Most: a.Most}
+	}
 	for _, v := range c.Services {
 		s.duties.standby[v.ID] = v.Standby
 		e.Services[v.ID] = true
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -30,6 +30,8 @@
 	Queues map[mothferry.QueueID]Queue
 	// Services holds the services that there are; nil if that is not told.
 	Services map[mothferry.ServiceID]bool
+	// Accounts holds the client accounts.
+	Accounts map[mothferry.AccountID]Account
 }
 
 // JobFound brings a job that a caller handed in, with its progress if an
