Keep accounts within what they may have running

A run counts from when it is decided until it is known to be over; runs restored after a takeover and stray ones that still end count too. Beyond the limit nothing of the account starts; nothing is ended for a limit that is lowered, and a lasting task that could not start again is not moved. One task larger than the whole limit may run alone; a gang starts as a whole or not at all. An account that the config no longer names keeps its last limit. Ruled out: using the overage of a tenth as room (starts carried out late would then be beyond it).

--- a/mfemulate/account.go
+++ b/mfemulate/account.go
@@ -12,8 +12,12 @@
 // limitOverage is by how much an account may be over its limit, beyond one task.
 const limitOverage = 0.1
 
-// configWithin is how long a change of the config takes to be in force.
-const configWithin = time.Second
+// Times of a change of the config: until the owner adopts it at the latest, and until it is
+// in force, with what was decided just before.
+const (
+	adoptedWithin = 800 * time.Millisecond
+	configWithin  = time.Second
+)
 
 // SetAccounts changes the client accounts. Until the change is surely in force the higher
 // limit of both counts.
@@ -23,11 +27,16 @@
 		w.limits[id] = higher(former[id], a.Most)
 	}
 	w.Accounts = accounts
-	w.after(time.Duration(w.Random.Float64()*float64(configWithin)), func() {
+	w.changes++
+	change := w.changes
+	w.after(time.Duration(w.Random.Float64()*float64(adoptedWithin)), func() {
 		w.tell(mfsched.ConfigChanged{Queues: w.Queues, Accounts: accounts})
 	})
 	w.after(configWithin, func() {
-		for id, a := range w.Accounts {
+		if change != w.changes {
+			return
+		}
+		for id, a := range accounts {
 			w.limits[id] = a.Most
 		}
 	})
--- a/mfemulate/account_test.go
+++ b/mfemulate/account_test.go
@@ -29,6 +29,10 @@
 	return out
 }
 
+func unbounded() map[mothferry.AccountID]mfsched.Account {
+	return map[mothferry.AccountID]mfsched.Account{"x": {Weight: 1}, "y": {Weight: 1}, "z": {Weight: 1}}
+}
+
 // Accounts had more running than they may: their limits were not read, and what a job's
 // account had running was not counted. On the shifted work's day at 100 and 300 hosts 6
 // and 37 starts were beyond a limit. Histories of faults, with accounts whose limits are
@@ -53,6 +57,8 @@
 			next := accounts(r)
 			w.At(at, func() { w.SetAccounts(next) })
 		}
+		// What the limits hold back has to come to an end once they are gone.
+		w.At(28*time.Second, func() { w.SetAccounts(unbounded()) })
 	})
 	return w
 }
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -84,6 +84,8 @@
 	lives    int
 	// limits holds what each account may have running by any config that may be in force.
 	limits map[mothferry.AccountID]mothferry.Resources
+	// changes counts the changes of the accounts.
+	changes int
 	// late says that an order is carried out that its worker has held back.
 	late bool
 	// Figures is filled while the world runs.
--- a/mfsched/account.go
+++ b/mfsched/account.go
@@ -10,3 +10,102 @@
 	// zero is not bounded.
 	Most mothferry.Resources
 }
+
+// account is a client account and what it has running.
+//
+// What goes wrong without the count: the limit is passed unnoticed by runs that nobody is
+// sure of. A run therefore counts from when it is decided until it is known to be over,
+// through orders without answer and changes of the owner, which restores them.
+type account struct {
+	Account
+	// used is what its tasks take that are, or may be, at a worker.
+	used mothferry.Resources
+	// stray is what runs of it take that should not be there and have not surely ended, as
+	// of the round of placing under way.
+	stray mothferry.Resources
+}
+
+// accountOf returns an account by its id, nil for none.
+func (s *State) accountOf(id mothferry.AccountID) *account {
+	if id == "" {
+		return nil
+	}
+	a, ok := s.accounts[id]
+	if !ok {
+		a = &account{}
+		s.accounts[id] = a
+	}
+	return a
+}
+
+// adoptAccounts takes in what a newer config says. An account that it does not name any
+// more keeps its last limit: jobs of it that were accepted go on.
+func (s *State) adoptAccounts(accounts map[mothferry.AccountID]Account) {
+	for id, a := range accounts {
+		if known := s.accountOf(id); known != nil {
+			known.Account = a
+		}
+	}
+}
+
+// takes adds to what an account has running.
+func (a *account) takes(need mothferry.Resources) {
+	if a != nil {
+		a.used = a.used.Add(need)
+	}
+}
+
+// frees subtracts from what an account has running.
+func (a *account) frees(need mothferry.Resources) {
+	if a != nil {
+		a.used = a.used.Sub(need)
+	}
+}
+
+// admits reports whether an account may have so much more running. One task that is larger
+// than the whole limit may run alone, or it never would.
+func (a *account) admits(need mothferry.Resources) bool {
+	if a == nil {
+		return true
+	}
+	taken := a.used.Add(a.stray)
+	return taken == (mothferry.Resources{}) || within(taken.Add(need), a.Most)
+}
+
+// within reports whether an amount keeps to a limit, of which a zero bounds nothing.
+func within(amount, most mothferry.Resources) bool {
+	return (most.Cores == 0 || amount.Cores <= most.Cores) &&
+		(most.Memory == 0 || amount.Memory <= most.Memory) &&
+		(most.Accelerators == 0 || amount.Accelerators <= most.Accelerators)
+}
+
+// admitsAll reports whether an account may have so many more tasks of a step running that
+// work only together.
+func (a *account) admitsAll(need mothferry.Resources, count int) bool {
+	if a == nil {
+		return true
+	}
+	sum := a.used.Add(a.stray)
+	for range count {
+		sum = sum.Add(need)
+	}
+	return within(sum, a.Most)
+}
+
+// overLimit reports whether an account has more running than it may, so that what is
+// stopped would not start again.
+func (a *account) overLimit() bool { return a != nil && !within(a.used.Add(a.stray), a.Most) }
+
+// countStray takes in what stray runs take of their accounts' limits.
+func (s *State) countStray() {
+	for _, a := range s.accounts {
+		a.stray = mothferry.Resources{}
+	}
+	for _, w := range s.roster {
+		for _, r := range w.stray {
+			if r.account != nil {
+				r.account.stray = r.account.stray.Add(r.need)
+			}
+		}
+	}
+}
--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -15,7 +15,7 @@
 			continue
 		}
 		for _, t := range w.pick(func(t *task) bool { return t.step.of.Lasting && t.phase == phaseRunning }) {
-			if s.mayStop(t, now) && s.roomElsewhere(t, now) {
+			if s.mayStop(t, now) && !t.job.account.overLimit() && s.roomElsewhere(t, now) {
 				s.emit(Decision{Message: "task is moved away", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{"step": t.name.Step, "index": t.name.Index, "run": t.run}})
 				s.stop(t, now)
 			}
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -17,7 +17,7 @@
 		s.jobOver(JobOver{Job: e.Job, State: e.Progress.State}, now)
 		return
 	}
-	j := &job{id: e.Job, submission: e.Submission, state: mfjob.StateQueued, chain: e.Submission.Chain()}
+	j := &job{id: e.Job, submission: e.Submission, state: mfjob.StateQueued, chain: e.Submission.Chain(), account: s.accountOf(e.Submission.Account)}
 	s.jobs[e.Job] = j
 	s.live[e.Job] = j
 	for k := range e.Submission.Occurrences() {
@@ -129,6 +129,7 @@
 	t.worker, t.phase = w, p
 	w.tasks[t.name] = t
 	w.used = w.used.Add(t.step.of.Room())
+	t.job.account.takes(t.step.of.Need)
 }
 
 // release frees a task from its worker; it waits then.
@@ -138,6 +139,7 @@
 	}
 	delete(t.worker.tasks, t.name)
 	t.worker.used = t.worker.used.Sub(t.step.of.Room())
+	t.job.account.frees(t.step.of.Need)
 	t.worker, t.phase = nil, phaseWaiting
 	t.step.waiting++
 	t.percent, t.tail, t.stopped, t.stopSent, t.confirmed = 0, 0, time.Time{}, time.Time{}, time.Time{}
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -10,6 +10,7 @@
 
 // place gives waiting tasks to workers, in the order of candidates.
 func (s *State) place(now time.Time) {
+	s.countStray()
 	byService := s.candidates(now)
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		list := byService[service]
@@ -54,6 +55,9 @@
 		if t.phase != phaseWaiting || now.Before(t.notBefore) || t.awaitsVerdict(now) {
 			continue
 		}
+		if !c.job.account.admits(p.of.Need) {
+			break
+		}
 		w := s.choose(c, t, workers, now)
 		if w == nil && t.suspect() {
 			// It waits for a worker of its own; the others of its step need not.
@@ -96,6 +100,9 @@
 			return
 		}
 	}
+	if !c.job.account.admitsAll(p.of.Need, len(p.tasks)) {
+		return
+	}
 	checkpoint := p.tasks[0].checkpoint
 	for _, t := range p.tasks {
 		w := s.choose(c, t, workers, now)
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -112,22 +112,17 @@
 }
 
 // stopStray ends a run that should not be there: its job is over, or its task
-// was given up on this worker.
+// was given up on this worker. What it takes is not known if its job is not known any more.
 func (s *State) stopStray(w *worker, r strayRun, now time.Time) {
 	if now.Sub(w.stray[r].told) < stopRetry {
 		return
 	}
-	w.stray[r] = strayStop{told: now, room: s.roomOf(r.task)}
-	s.emit(Stop{At: w.at, Task: r.task, Run: r.run})
-}
-
-// roomOf returns the room that a task takes; none if its job is not known any more.
-func (s *State) roomOf(name mothferry.TaskName) mothferry.Resources {
-	t := s.lookUp(name)
-	if t == nil {
-		return mothferry.Resources{}
+	stop := strayStop{told: now}
+	if t := s.lookUp(r.task); t != nil {
+		stop.room, stop.need, stop.account = t.step.of.Room(), t.step.of.Need, t.job.account
 	}
-	return t.step.of.Room()
+	w.stray[r] = stop
+	s.emit(Stop{At: w.at, Task: r.task, Run: r.run})
 }
 
 func (s *State) stopAgain(t *task, now time.Time) {
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -125,8 +125,10 @@
 
 // job is one job that is not over, or whose runs have not all ended.
 type job struct {
-	id          mothferry.JobID
-	submission  mfjob.Submission
+	id         mothferry.JobID
+	submission mfjob.Submission
+	// account is that of the job; nil for none.
+	account     *account
 	state       mfjob.State
 	occurrences []*occurrence
 	// touched says that a run was ever ordered.
@@ -159,6 +161,8 @@
 	// events always bring the same commands in the same order.
 	roster  []*worker
 	leaving map[mothferry.WorkerID]bool
+	// accounts holds the client accounts that a config named, or a job.
+	accounts map[mothferry.AccountID]*account
 	// doubtful holds what ran in lives that ended for a cause that is not known yet.
 	doubtful map[mothferry.WorkerID]doubtfulEnd
 	// due holds workers that are to be emptied later.
@@ -212,6 +216,7 @@
 		jobs:   map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
 		leaving:        map[mothferry.WorkerID]bool{},
 		doubtful:       map[mothferry.WorkerID]doubtfulEnd{},
+		accounts:       map[mothferry.AccountID]*account{},
 		arrivals:       map[mothferry.ServiceID]*arrivals{},
 		noting:         map[mothferry.WorkerID]mothferry.EndNumber{},
 		cancelledEarly: map[mothferry.JobID]bool{},
@@ -224,6 +229,7 @@
 	switch v := e.(type) {
 	case ConfigChanged:
 		s.queues, s.services = v.Queues, v.Services
+		s.adoptAccounts(v.Accounts)
 	case JobFound:
 		s.found(v, now)
 	case JobOver:
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -79,10 +79,12 @@
 	run  mothferry.RunNumber
 }
 
-// strayStop is when a stray run was last told to stop, and the room that it takes.
+// strayStop is when a stray run was last told to stop, and what it takes.
 type strayStop struct {
 	told time.Time
-	room mothferry.Resources
+	// room is what it takes of its worker, need what it takes of its account's limit.
+	room, need mothferry.Resources
+	account    *account
 }
 
 // taken is the room that tasks and stray runs take. A worker that does not refuse what
