Hold lasting tasks back under which workers crash, and never end the others of their step

A lasting job is not given up any more: its task is tried alone, for 0.4 s, and held back for 4 s after three crashes that were early or may have been; crashes beside it do not count. A successor holds such a task back too, as it may have been started just before.

--- a/mfsched/crash.go
+++ b/mfsched/crash.go
@@ -26,12 +26,19 @@
 	// little of it. Runs that ended their workers did so within 10 ms; a busy worker has
 	// a start each 30 ms, so that a crash finds three or four runs that are newer.
 	provenAfter = 100 * time.Millisecond
+	// provenLasting is the same of a lasting task, which is not given up for it: its next
+	// start is only held back, so that slower ones are caught too.
+	provenLasting = 400 * time.Millisecond
 	// earlyCrashes gives a task up that was begun by two workers which both crashed
 	// before it was proven, the second of them while it was tried alone.
 	earlyCrashes = 2
-	// earlyCrashesLasting is the same of a task that lasts: to give one up that can run
-	// costs its users the rest of its time.
+	// earlyCrashesLasting workers that crashed early under a task that lasts, or that may
+	// have, hold its next start back for lastingPause: it is not given up, as that would end
+	// the others of its step, which are at work. It is there whenever its worker crashes for
+	// another reason, so that crashes which are not early say nothing. The pause is shorter than
+	// its users bear, in case that it can run.
 	earlyCrashesLasting = 3
+	lastingPause        = 4 * time.Second
 	// mostCrashes gives a task up that may have ended so many workers, however late, if
 	// leastCrashes of them are known to have crashed: fewer than three starts may follow
 	// the third crash, and one crash may still be unseen.
@@ -83,7 +90,7 @@
 	}
 	for _, t := range w.pick(func(t *task) bool { return t.phase != phasePlanned }) {
 		r := doubtfulRun{task: t, sure: t.surelyThere(lastAlive)}
-		if r.sure && !t.sent.IsZero() && t.borne() < provenAfter {
+		if r.sure && !t.sent.IsZero() && t.borne() < t.provenAfter() {
 			r.early, t.doubted = true, now
 		}
 		runs = append(runs, r)
@@ -183,13 +190,21 @@
 // guilty reports whether so many workers have crashed under a task that it is given up.
 func (t *task) guilty() bool {
 	c := t.crashes
-	early := earlyCrashes
-	if t.step.of.Lasting {
-		early = earlyCrashesLasting
-	}
 	ends := c.Known + c.Unseen
-	return t.phase != phaseDone &&
-		(c.Early >= early || c.Known >= leastCrashes && ends >= mostCrashes || ends >= mostEnds)
+	return t.phase != phaseDone && !t.step.of.Lasting &&
+		(c.Early >= earlyCrashes || c.Known >= leastCrashes && ends >= mostCrashes || ends >= mostEnds)
+}
+
+// holdBack delays the next start of a lasting task under which workers seem to crash.
+func (s *State) holdBack(t *task, now time.Time) {
+	if !t.step.of.Lasting || t.crashes.Early+t.crashes.Unseen < earlyCrashesLasting {
+		return
+	}
+	t.notBefore = now.Add(lastingPause)
+	s.emit(Decision{Message: "task is held back, workers crash under it", Job: t.job.id, Fields: map[string]any{
+		"step": t.name.Step, "index": t.name.Index, "run": t.run,
+		"early": t.crashes.Early, "unseen": t.crashes.Unseen, "pause_ms": lastingPause.Milliseconds(),
+	}})
 }
 
 // giveUp ends the jobs of tasks under which workers crash.
@@ -209,7 +224,18 @@
 // suspect reports whether a task has to be tried on a worker that gets nothing else
 // meanwhile. The members of a gang run together or not at all and can't be tried alone.
 func (t *task) suspect() bool {
-	return (!t.doubted.IsZero() || t.crashes.Early > 0 || t.crashes.Known > 1) && !t.step.of.Gang
+	if t.step.of.Gang {
+		return false
+	}
+	return !t.doubted.IsZero() || t.crashes.Early > 0 || t.crashes.Known > 1 && !t.step.of.Lasting
+}
+
+// provenAfter is how long a worker has to bear a run of a task for it to be proven.
+func (t *task) provenAfter() time.Duration {
+	if t.step.of.Lasting {
+		return provenLasting
+	}
+	return provenAfter
 }
 
 // awaitsVerdict reports whether a task may not start yet, as its last worker may have
@@ -218,7 +244,7 @@
 
 // onTrial reports whether a worker tries a task whose run is not proven yet.
 func (w *worker) onTrial() bool {
-	return w.trial != nil && w.trial.worker == w && w.trial.borne() < provenAfter
+	return w.trial != nil && w.trial.worker == w && w.trial.borne() < w.trial.provenAfter()
 }
 
 // mayTry reports whether one more of a service's usable workers may try a task.
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -100,6 +100,8 @@
 		return
 	}
 	if p.Worker == "" {
+		// An earlier owner may have started it just before this one took over.
+		s.holdBack(t, now)
 		return
 	}
 	w, ok := s.workers[p.Worker]
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -163,16 +163,12 @@
 	}
 	s.emit(Decision{Message: "worker's life is over", Worker: id, Fields: map[string]any{"tasks": len(w.tasks), "newest": w.newestRuns(), "cause": cause}})
 	guilty := s.blame(w, cause, now)
-	s.freeAll(w, now)
-	s.forgetWorker(w)
-	s.giveUp(guilty, now)
-}
-
-// freeAll lets all tasks of a worker wait again.
-func (s *State) freeAll(w *worker, now time.Time) {
 	for _, t := range w.pick(anyTask) {
 		s.giveBack(t, now)
+		s.holdBack(t, now)
 	}
+	s.forgetWorker(w)
+	s.giveUp(guilty, now)
 }
 
 // lapsed reports whether everything on a worker has surely ended because its
