--- a/fleet.go
+++ b/fleet.go
@@ -48,9 +48,14 @@
 	Version Version
 }
 
-// WorkerID names one life of a worker: a restart brings a new id.
+// WorkerID names a worker. A restart brings a new id, or another LifeStart under the same.
 type WorkerID string
 
+// LifeStart is when a life of a worker began, in milliseconds since 1970 by its own time of
+// day. It tells lives apart that have one id; a later life has a larger one. Zero where it is
+// not told.
+type LifeStart int64
+
 // MachineID names the hardware below a worker. It stays the same over restarts.
 type MachineID string
 
@@ -153,7 +158,9 @@
 
 // LookReport is a worker's answer to a look.
 type LookReport struct {
-	Clock   WorkerClock
+	Clock WorkerClock
+	// Born is when the life that answers began.
+	Born    LifeStart
 	Running []RunningTask
 	Ended   []EndedTask
 }
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -59,7 +59,9 @@
 
 // Worker is one listed life of a worker.
 type Worker struct {
-	At       mothferry.WorkerAddress
+	At mothferry.WorkerAddress
+	// Born is when the life began.
+	Born     mothferry.LifeStart
 	Service  mothferry.ServiceID
 	Rack     mothferry.RackID
 	Labels   []string
--- /dev/null
+++ b/mfsched/life_test.go
@@ -0,0 +1,187 @@
+package mfsched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfsched"
+)
+
+const (
+	firstLife  mothferry.LifeStart = 1_700_000_000_000
+	secondLife mothferry.LifeStart = 1_700_000_003_000
+)
+
+// listLife lists a life of a worker.
+func (s *script) listLife(id mothferry.WorkerID, born mothferry.LifeStart) {
+	l := worker(id)
+	l.Born = born
+	s.step(mfsched.WorkerListed{Worker: l})
+}
+
+// answer answers the newest look at a worker as a life of it does; its clock begins anew.
+func (s *script) answer(id mothferry.WorkerID, born mothferry.LifeStart, report mothferry.LookReport) {
+	s.t.Helper()
+	report.Born = born
+	report.Clock = mothferry.WorkerClock(s.now.Sub(start))
+	if born == firstLife {
+		report.Clock += mothferry.WorkerClock(time.Hour)
+	}
+	var sent *mfsched.Look
+	for _, l := range taken[mfsched.Look](s) {
+		if l.At.Worker == id {
+			sent = &l
+			continue
+		}
+		s.out = append(s.out, l)
+	}
+	assert.Assert(s.t, sent != nil, "no look at %s waits", id)
+	s.step(mfsched.LookAnswered{Worker: id, Number: sent.Number, Sent: s.now, Report: report})
+}
+
+// runningInLife returns a scheduler with a job of so many tasks that run on a worker's first life.
+func runningInLife(t *testing.T, count int) (*script, []mfsched.Start) {
+	t.Helper()
+	s := newScript(t)
+	s.listLife("w", firstLife)
+	s.pass(10 * time.Millisecond)
+	s.answer("w", firstLife, mothferry.LookReport{})
+	s.submit("j", count)
+	s.pass(50 * time.Millisecond)
+	starts := taken[mfsched.Start](s)
+	assert.Equal(t, len(starts), count)
+	return s, starts
+}
+
+// A worker that had started again under its id was taken for the life that it had before:
+// its tasks counted as running, or as missing one by one, its ends, which it numbers anew,
+// were taken for ends that had been seen, and a job stood still until its tasks were found to
+// be stuck. Nothing but the start of the life tells.
+func TestWorkerThatStartsAgainRunsNothing(t *testing.T) {
+	s, starts := runningInLife(t, 2)
+	for _, o := range starts {
+		s.answerStart(o, mfsched.ResultDone, "")
+	}
+	s.answer("w", firstLife, mothferry.LookReport{
+		Running: runningOf(starts[1:]),
+		Ended:   []mothferry.EndedTask{{Number: 7, Task: starts[0].Order.Task, Run: 1, Cause: mothferry.EndDone}},
+	})
+	s.pass(100 * time.Millisecond)
+	taken[mfsched.Look](s)
+	s.listLife("w", secondLife)
+	s.pass(50 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0, "it has not been looked at")
+	s.answer("w", secondLife, mothferry.LookReport{})
+	s.pass(time.Second)
+	again := taken[mfsched.Start](s)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Order.Task, starts[1].Order.Task)
+	assert.Assert(t, again[0].Order.Run > 1)
+	assert.Assert(t, again[0].Order.Until < mothferry.WorkerClock(30*time.Minute), "a lease by the clock of the life before")
+	s.answerStart(again[0], mfsched.ResultDone, "")
+	s.answer("w", secondLife, mothferry.LookReport{Ended: []mothferry.EndedTask{{Number: 1, Task: again[0].Order.Task, Run: again[0].Order.Run, Cause: mothferry.EndDone}}})
+	s.pass(100 * time.Millisecond)
+	assert.Equal(t, s.jobState("j"), "completed", "its ends are numbered anew")
+}
+
+// jobState is what the log says of a job's end; empty if it is not over.
+func (s *script) jobState(id mothferry.JobID) string {
+	for _, d := range taken[mfsched.Decision](s) {
+		if d.Message == "job is over" && d.Job == id {
+			return fmt.Sprint(d.Fields["state"])
+		}
+	}
+	return ""
+}
+
+// The first that is heard of a new life may be its answer to a look, within one look: the
+// entry is read later. An answer of the life before, or its entry, that comes after that
+// changes nothing.
+func TestLookTellsOfANewLife(t *testing.T) {
+	s, starts := runningInLife(t, 1)
+	s.answerStart(starts[0], mfsched.ResultDone, "")
+	s.pass(300 * time.Millisecond)
+	s.answer("w", secondLife, mothferry.LookReport{})
+	s.pass(1500 * time.Millisecond)
+	again := taken[mfsched.Start](s)
+	assert.Equal(t, len(again), 1, "the run of the life before is over")
+	s.answerStart(again[0], mfsched.ResultDone, "")
+	s.step(mfsched.LookAnswered{Worker: "w", Number: 1, Sent: start, Report: mothferry.LookReport{Born: firstLife, Clock: mothferry.WorkerClock(2 * time.Hour), Running: runningOf(starts)}})
+	s.listLife("w", firstLife)
+	s.pass(300 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Stop](s)), 0)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+}
+
+// A task ran twice at the same time. Its start had no answer when its worker started
+// again under its id; the life being over, the task was started elsewhere, and the order
+// was carried out late, by the new life, which knows no more than the id that it was meant
+// for. The run is told to stop there first: then the new life refuses it for good.
+func TestLateStartOfAnEarlierLifeIsWaitedOut(t *testing.T) {
+	s, starts := runningInLife(t, 1)
+	s.readyWorker("w-2")
+	// The start has no answer, and the worker starts again.
+	s.listLife("w", secondLife)
+	s.pass(30 * time.Millisecond)
+	s.answer("w", secondLife, mothferry.LookReport{})
+	s.pass(100 * time.Millisecond)
+	for _, o := range taken[mfsched.Start](s) {
+		assert.Assert(t, o.Order.Run == 1, "started anew while the first order may be carried out")
+	}
+	stops := taken[mfsched.Stop](s)
+	assert.Assert(t, len(stops) > 0, "the new life is told to stop what it may yet be told to start")
+	assert.Equal(t, stops[0].Task, starts[0].Order.Task)
+	s.step(mfsched.StopAnswered{Worker: "w", Task: stops[0].Task, Run: 1, Result: mfsched.ResultDone})
+	s.pass(30 * time.Millisecond)
+	s.answer("w", secondLife, mothferry.LookReport{})
+	s.pass(100 * time.Millisecond)
+	again := taken[mfsched.Start](s)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Order.Run, mothferry.RunNumber(2))
+}
+
+// A crash is one also where the worker is back within a look: under a task that ends its
+// workers so, each under the id that it had, the job is given up as under any other.
+func TestCrashUnderOneIDCounts(t *testing.T) {
+	s := newScript(t)
+	born := firstLife
+	s.listLife("w", born)
+	s.pass(10 * time.Millisecond)
+	s.answer("w", born, mothferry.LookReport{})
+	s.submit("j", 1)
+	runs := 0
+	for range 40 {
+		s.pass(100 * time.Millisecond)
+		for _, o := range taken[mfsched.Start](s) {
+			runs++
+			s.answerStart(o, mfsched.ResultDone, "")
+			born += 1000
+			s.listLife("w", born)
+		}
+		for _, o := range taken[mfsched.Stop](s) {
+			s.step(mfsched.StopAnswered{Worker: "w", Task: o.Task, Run: o.Run, Result: mfsched.ResultDone})
+		}
+		for _, l := range taken[mfsched.Look](s) {
+			s.step(mfsched.LookAnswered{Worker: "w", Number: l.Number, Sent: s.now, Report: mothferry.LookReport{Born: born, Clock: mothferry.WorkerClock(s.now.Sub(start))}})
+		}
+	}
+	assert.Equal(t, s.jobState("j"), "failed")
+	assert.Assert(t, runs >= 2 && runs < 6, "%d runs", runs)
+}
+
+// The list of machines is read more rarely than entries are: what it shows of the life
+// before must not end the one that has just begun.
+func TestLateWordOfACrashEndsNoNewLife(t *testing.T) {
+	s, starts := runningInLife(t, 1)
+	s.answerStart(starts[0], mfsched.ResultDone, "")
+	s.listLife("w", secondLife)
+	s.pass(30 * time.Millisecond)
+	s.answer("w", secondLife, mothferry.LookReport{})
+	s.step(mfsched.WorkerOver{Worker: "w", Cause: mfsched.LifeCrashed})
+	s.pass(time.Second)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 1, "its new life is used")
+}
