Tell lives of a worker apart by their start

A start without an answer is told to stop there first. Answers and entries of the life before change nothing; what the list of machines says of an end within 0.5 s of it is taken to be of the life before. The crash counts.

--- a/mfemulate/account.go
+++ b/mfemulate/account.go
@@ -30,6 +30,10 @@
 	w.changes++
 	change := w.changes
 	w.after(time.Duration(w.Random.Float64()*float64(adoptedWithin)), func() {
+		if change != w.changes {
+			// A host adopts only newer configs.
+			return
+		}
 		w.tell(mfsched.ConfigChanged{Queues: w.Queues, Accounts: accounts})
 	})
 	w.after(configWithin, func() {
--- a/mfemulate/account_test.go
+++ b/mfemulate/account_test.go
@@ -50,7 +50,7 @@
 
 // accountHistory plays a history in which jobs belong to accounts.
 func accountHistory(seed uint64, r *rand.Rand) *mfemulate.World {
-	w := newHistory(seed, func(*mfemulate.Faults) {}, func(w *mfemulate.World) {
+	return newHistory(seed, historyKind{accounts: true, further: func(*mfemulate.Faults) {}, prepare: func(w *mfemulate.World) {
 		w.Accounts = accounts(r)
 		for range r.IntN(4) {
 			at := time.Second + time.Duration(r.Int64N(int64(20*time.Second)))
@@ -59,6 +59,5 @@
 		}
 		// What the limits hold back has to come to an end once they are gone.
 		w.At(28*time.Second, func() { w.SetAccounts(unbounded()) })
-	})
-	return w
+	}})
 }
--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -20,6 +20,8 @@
 	// life is its worker, listed the life that the list of workers shows.
 	life   mothferry.WorkerID
 	listed mothferry.WorkerID
+	// former is the id of the life before.
+	former mothferry.WorkerID
 	has    mothferry.Resources
 }
 
@@ -39,12 +41,15 @@
 func (w *World) live(m *machine) {
 	w.lives++
 	id := mothferry.WorkerID(fmt.Sprintf("w-%04d", w.lives))
-	m.life, m.state = id, mothferry.MachineUp
+	if m.former != "" && w.chance(w.Faults.SameID) {
+		id = m.former
+	}
+	m.life, m.former, m.state = id, id, mothferry.MachineUp
 	k := &worker{
-		world: w, machine: m, speed: 1 - 0.02*w.Random.Float64(),
+		world: w, machine: m, began: w.now, speed: 1 - 0.02*w.Random.Float64(),
 		running: map[mothferry.TaskName]*run{}, highest: map[mothferry.TaskName]mothferry.RunNumber{},
 		listing: mfsched.Worker{
-			At: mothferry.WorkerAddress{Worker: id, Address: string(id)}, Service: m.pool, Rack: m.rack, Capacity: m.has,
+			At: mothferry.WorkerAddress{Worker: id, Address: string(id)}, Born: mothferry.LifeStart(w.now.UnixMilli()), Service: m.pool, Rack: m.rack, Capacity: m.has,
 		},
 	}
 	w.workers[id] = k
@@ -68,7 +73,11 @@
 	k.over = true
 	k.running = map[mothferry.TaskName]*run{}
 	k.breakLooks()
-	w.after(listLag, func() { w.tell(mfsched.WorkerUnlisted{Worker: k.listing.At.Worker}) })
+	w.after(listLag, func() {
+		if w.workers[k.listing.At.Worker] == k {
+			w.tell(mfsched.WorkerUnlisted{Worker: k.listing.At.Worker})
+		}
+	})
 }
 
 // Crash ends a machine's worker; another life begins a while later.
--- a/mfemulate/history_test.go
+++ b/mfemulate/history_test.go
@@ -80,18 +80,51 @@
 	})
 }
 
+// Histories in which most workers that start again have the id that they had, some of them
+// within one look, and know nothing of before: the same holds. What such a worker was told
+// in its life before and had not carried out is gone with that life.
+func TestHistoriesUnderOneID(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		w := sameIDHistory(seed)
+		assert.Equal(t, len(w.Broken), 0, "%v", w.Broken)
+		assert.Equal(t, w.Unfinished(), 0, "jobs without an end: %v", w.Describe())
+	})
+}
+
+func sameIDHistory(seed uint64) *mfemulate.World {
+	r := rand.New(rand.NewPCG(seed, 5))
+	return newHistory(seed, historyKind{
+		further: func(f *mfemulate.Faults) { f.SameID = 0.8 },
+		prepare: func(w *mfemulate.World) {
+			for range 3 + r.IntN(12) {
+				at := time.Second + time.Duration(r.Int64N(int64(20*time.Second)))
+				index, down := r.IntN(13), time.Duration(r.Int64N(int64(500*time.Millisecond)))
+				w.At(at, func() { w.Crash(index, down) })
+			}
+		},
+	})
+}
+
 func history(seed uint64) *mfemulate.World {
 	return faultHistory(seed, func(*mfemulate.Faults) {})
 }
 
 // faultHistory plays the history of a seed with further faults.
 func faultHistory(seed uint64, further func(*mfemulate.Faults)) *mfemulate.World {
-	return newHistory(seed, further, nil)
+	return newHistory(seed, historyKind{further: further, prepare: func(*mfemulate.World) {}})
 }
 
-// newHistory plays the history of a seed with further faults; with accounts, each second
-// job belongs to one of three.
-func newHistory(seed uint64, further func(*mfemulate.Faults), withAccounts func(*mfemulate.World)) *mfemulate.World {
+// historyKind is what a history has beside the faults that all have.
+type historyKind struct {
+	further func(*mfemulate.Faults)
+	prepare func(*mfemulate.World)
+	// accounts says that three of four jobs belong to client accounts.
+	accounts bool
+}
+
+// newHistory plays the history of a seed.
+func newHistory(seed uint64, kind historyKind) *mfemulate.World {
 	r := rand.New(rand.NewPCG(seed, 1))
 	rate := func(most float64) float64 {
 		if r.IntN(2) == 0 {
@@ -103,11 +136,9 @@
 		LoseOrder: rate(0.05), LoseAnswer: rate(0.1), LateOrder: rate(0.1), LateBy: 8 * time.Second,
 		LoseCommit: rate(0.1), FailTask: rate(0.05),
 	}
-	further(&faults)
+	kind.further(&faults)
 	w := newWorld(seed, faults, r.IntN(2) == 0)
-	if withAccounts != nil {
-		withAccounts(w)
-	}
+	kind.prepare(w)
 	const busy = 20 * time.Second
 	at := func() time.Duration { return time.Second + time.Duration(r.Int64N(int64(busy))) }
 	for range 60 {
@@ -116,7 +147,7 @@
 			s = job(r, "qb", "b")
 		}
 		d := at()
-		if withAccounts != nil {
+		if kind.accounts {
 			s.Account = []mothferry.AccountID{"x", "y", "z", ""}[r.IntN(4)]
 		}
 		w.At(d, func() {
@@ -127,7 +158,7 @@
 		})
 	}
 	lasts := lasting("qa", "a")
-	if withAccounts != nil {
+	if kind.accounts {
 		lasts.Account = "x"
 	}
 	w.At(500*time.Millisecond, func() { w.Submit(lasts) })
@@ -148,7 +179,9 @@
 		i, d := r.IntN(13), time.Duration(r.Int64N(int64(8*time.Second)))
 		w.At(at(), func() { w.Silence(i, d) })
 	}
-	w.At(busy+8*time.Second, func() { w.Faults = mfemulate.Faults{CrashAfter: faults.CrashAfter, CrashDown: faults.CrashDown} })
+	w.At(busy+8*time.Second, func() {
+		w.Faults = mfemulate.Faults{CrashAfter: faults.CrashAfter, CrashDown: faults.CrashDown, SameID: faults.SameID}
+	})
 	w.Run(busy + 60*time.Second)
 	return w
 }
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -220,8 +220,9 @@
 		return
 	case w.chance(w.Faults.LateOrder):
 		w.after(callTimeout, unknown)
+		k := w.workers[id]
 		w.after(time.Duration(w.Random.Float64()*float64(w.Faults.LateBy)), func() {
-			if k := w.workers[id]; k != nil && !k.over {
+			if k != nil && !k.over {
 				w.late = true
 				_ = carry(k)
 				w.late = false
@@ -273,8 +274,9 @@
 		return
 	}
 	if w.chance(w.Faults.LateOrder) {
+		k := w.workers[id]
 		w.after(time.Duration(w.Random.Float64()*float64(w.Faults.LateBy)), func() {
-			if k := w.workers[id]; k != nil && !k.over && !k.silent {
+			if k != nil && !k.over && !k.silent {
 				_ = k.look(v.Order, func(mothferry.LookReport) {}, func() {})
 			}
 		})
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -18,6 +18,8 @@
 	// over says that this life has ended; silent that nothing reaches it.
 	over   bool
 	silent bool
+	// began is when it started: its clock begins then.
+	began time.Time
 	// speed of its clock against true time, at most 2% slow.
 	speed   float64
 	epoch   mothferry.Epoch
@@ -51,7 +53,7 @@
 }
 
 func (o *worker) clock() mothferry.WorkerClock {
-	return mothferry.WorkerClock(float64(o.world.now.Sub(Epoch0))*o.speed) + mothferry.WorkerClock(time.Hour)
+	return mothferry.WorkerClock(float64(o.world.now.Sub(o.began))*o.speed) + mothferry.WorkerClock(time.Second)
 }
 
 // extend lengthens the lease of all that runs.
@@ -125,7 +127,7 @@
 }
 
 func (o *worker) report() mothferry.LookReport {
-	report := mothferry.LookReport{Clock: o.clock(), Ended: slices.Clone(o.ends)}
+	report := mothferry.LookReport{Clock: o.clock(), Born: o.listing.Born, Ended: slices.Clone(o.ends)}
 	for _, n := range o.names() {
 		r := o.running[n]
 		percent := int(100 * float64(o.world.now.Sub(r.begun)) / float64(max(1, r.takes)))
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -41,6 +41,8 @@
 	CrashJob   float64
 	CrashAfter time.Duration
 	CrashDown  time.Duration
+	// SameID: a worker starts again under the id that it had.
+	SameID float64
 }
 
 // Times of the model, as the platform's pages and bench days show them.
--- a/mfrelay/message.go
+++ b/mfrelay/message.go
@@ -93,7 +93,7 @@
 }
 
 func reportTo(r mothferry.LookReport) *mfwire.Report {
-	out := &mfwire.Report{}
+	out := &mfwire.Report{BornMs: int64(r.Born)}
 	for _, t := range r.Running {
 		out.Running = append(out.Running, &mfwire.Running{
 			Task: taskTo(t.Task), Run: int64(t.Run), Checkpoint: string(t.Checkpoint), Percent: int64(t.Percent), TailNs: int64(t.Tail),
@@ -108,7 +108,7 @@
 }
 
 func reportFrom(clock mothferry.WorkerClock, r *mfwire.Report) mothferry.LookReport {
-	out := mothferry.LookReport{Clock: clock}
+	out := mothferry.LookReport{Clock: clock, Born: mothferry.LifeStart(r.GetBornMs())}
 	for _, t := range r.GetRunning() {
 		out.Running = append(out.Running, mothferry.RunningTask{
 			Task: taskFrom(t.GetTask()), Run: mothferry.RunNumber(t.GetRun()), Checkpoint: mothferry.Checkpoint(t.GetCheckpoint()),
--- a/mfrelay/relay_test.go
+++ b/mfrelay/relay_test.go
@@ -157,6 +157,7 @@
 	task := mothferry.TaskName{Job: "j", Occurrence: 1, Step: 2, Index: 3}
 	report := mothferry.LookReport{
 		Clock:   mothferry.WorkerClock(3 * time.Second),
+		Born:    1_700_000_000_000,
 		Running: []mothferry.RunningTask{{Task: task, Run: 4, Checkpoint: "c", Percent: 50, Tail: time.Millisecond}},
 		Ended:   []mothferry.EndedTask{{Number: 9, Task: task, Run: 3, Cause: mothferry.EndFailed, Checkpoint: "d"}},
 	}
--- a/mfsched/crash.go
+++ b/mfsched/crash.go
@@ -80,15 +80,15 @@
 	runs []doubtfulRun
 }
 
-// blame counts the end of a worker's life against what ran there. It returns the tasks that
+// blame counts the end of a worker's life against the runs that ended with it. It returns the tasks that
 // are to be given up for it.
-func (s *State) blame(w *worker, cause LifeEnd, now time.Time) []*task {
+func (s *State) blame(w *worker, ended []*task, cause LifeEnd, now time.Time) []*task {
 	runs := w.lapsed
 	lastAlive := now
 	if w.failing {
 		lastAlive = w.failedAt
 	}
-	for _, t := range w.pick(func(t *task) bool { return t.phase != phasePlanned }) {
+	for _, t := range ended {
 		r := doubtfulRun{task: t, sure: t.surelyThere(lastAlive)}
 		if r.sure && !t.sent.IsZero() && t.borne() < t.provenAfter() {
 			r.early, t.doubted = true, now
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -146,7 +146,7 @@
 	t.step.waiting++
 	t.percent, t.tail, t.stopped, t.stopSent, t.confirmed = 0, 0, time.Time{}, time.Time{}, time.Time{}
 	t.pace, t.inherited, t.sends = fullPace, time.Time{}, 0
-	t.open, t.sent = 0, time.Time{}
+	t.open, t.answers, t.sent = 0, 0, time.Time{}
 }
 
 func (s *State) touch(j *job) {
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -14,6 +14,9 @@
 		return
 	}
 	w.closeLook(e.Number)
+	if !s.thisLife(w, e.Report, now) {
+		return
+	}
 	w.nextLook = w.lookSent.Add(lookGap)
 	s.lookAnswered(w, e.Sent, now)
 	w.heard(e.Report.Clock, now)
@@ -53,6 +56,10 @@
 		return
 	}
 	w.closeLook(e.Number)
+	if e.Sent.Before(w.began) {
+		// It was sent to the life before.
+		return
+	}
 	if e.Result == ResultWorkerOver {
 		s.over(e.Worker, LifeUnknown, now)
 		return
@@ -137,7 +144,7 @@
 	switch t.phase {
 	case phaseUnclear, phaseStopping:
 		switch {
-		case !w.sealed:
+		case !w.sealed && !t.mayStartLate(looked):
 			// The first look of this epoch: an order of an earlier owner that
 			// has not arrived by now is refused for its epoch.
 			s.giveBack(t, now)
@@ -250,6 +257,9 @@
 	if t == nil || t.run != e.Run || t.worker == nil || t.worker.at.Worker != e.Worker {
 		return
 	}
+	if e.Result != ResultUnknown {
+		t.answers++
+	}
 	switch e.Result {
 	case ResultDone:
 		if t.phase == phaseSent {
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -50,13 +50,13 @@
 	step  *step
 	phase phase
 	run   mothferry.RunNumber
-	// sends counts the orders to start the run, open those of them without an answer;
-	// sent is when the last one went out.
-	sends, open int
-	sent        time.Time
-	failures    int
-	checkpoint  mothferry.Checkpoint
-	crashes     mfjob.Crashes
+	// sends counts the orders to start the run, open those of them whose call has not ended,
+	// answers those that had an answer; sent is when the last one went out.
+	sends, open, answers int
+	sent                 time.Time
+	failures             int
+	checkpoint           mothferry.Checkpoint
+	crashes              mfjob.Crashes
 	// doubted is when a worker ended early under it, perhaps by a crash; zero if that is
 	// settled.
 	doubted time.Time
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -13,6 +13,11 @@
 	Worker
 	at     mothferry.WorkerAddress
 	listed bool
+	// born is when the life began that answered last, began when it was heard to have taken
+	// the place of another one under the same id; zero if it has not. Worker.Born is when the
+	// listed life began.
+	born  mothferry.LifeStart
+	began time.Time
 	// sealed says that it has answered a look of this epoch: it refuses
 	// orders of earlier owners from then on.
 	sealed bool
@@ -132,6 +137,9 @@
 	if !ok {
 		w = s.placeholder(l.At.Worker)
 	}
+	if !w.listedAgain(l.Born, now) {
+		return
+	}
 	if !w.listed {
 		w.nextLook = now
 		s.emit(Decision{Message: "worker is listed", Worker: l.At.Worker, Fields: map[string]any{"service": l.Service, "rack": l.Rack, "draining": l.Draining}})
@@ -161,8 +169,12 @@
 		s.giveUp(s.resolve(id, cause), now)
 		return
 	}
+	if w.awaitsNewLife(now) {
+		s.emit(Decision{Message: "life before is over", Worker: id, Fields: map[string]any{"cause": cause, "born": w.born}})
+		return
+	}
 	s.emit(Decision{Message: "worker's life is over", Worker: id, Fields: map[string]any{"tasks": len(w.tasks), "newest": w.newestRuns(), "cause": cause}})
-	guilty := s.blame(w, cause, now)
+	guilty := s.blame(w, w.pick(func(t *task) bool { return t.phase != phasePlanned }), cause, now)
 	for _, t := range w.pick(anyTask) {
 		s.giveBack(t, now)
 		s.holdBack(t, now)
