--- a/mfemulate/seed_test.go
+++ b/mfemulate/seed_test.go
@@ -1,6 +1,7 @@
 package mfemulate_test
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -41,3 +42,27 @@
 		assert.Equal(t, w.Unfinished(), 0, k.cause)
 	}
 }
+
+// Seeds of histories with client accounts that once failed.
+func TestKeptAccountSeeds(t *testing.T) {
+	for _, k := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{0x50f1c, "the checker took the limits of a newer change for those of an older one"},
+		{0x3, "limits stayed under which the backlog can't end"},
+		{0x29, "the model's owner adopted an older config after a newer one"},
+		{0x2d, "starts decided before a limit was lowered were ordered again after it"},
+	} {
+		w := accountHistory(k.seed, rand.New(rand.NewPCG(k.seed, 3)))
+		assert.Equal(t, len(w.Broken), 0, "%v (once: %s)", w.Broken, k.cause)
+		assert.Equal(t, w.Unfinished(), 0, k.cause)
+	}
+}
+
+// Seeds of histories with lives under one id that once failed.
+func TestKeptLifeSeeds(t *testing.T) {
+	w := sameIDHistory(0x203)
+	assert.Equal(t, len(w.Broken), 0, "%v (once: an entry ended a life whose successor had taken orders meant for it)", w.Broken)
+	assert.Equal(t, w.Unfinished(), 0)
+}
--- a/mfsched/account_test.go
+++ b/mfsched/account_test.go
@@ -161,3 +161,37 @@
 	s.pass(300 * time.Millisecond)
 	assert.Assert(t, len(taken[mfsched.Stop](s)) > 0)
 }
+
+// A drawn history (seed 0x2d) had two tasks of an account begin 0.23 s after its limit had
+// been lowered below what ran. They had been decided before, their orders were lost, and
+// after a quarter of a second they were ordered again, though nothing more might start.
+func TestStartIsNotOrderedAgainBeyondALoweredLimit(t *testing.T) {
+	s := newScript(t)
+	s.limit(8000)
+	s.readyWorker("w")
+	s.submitFor("j", 4, nil)
+	s.pass(50 * time.Millisecond)
+	first := taken[mfsched.Start](s)
+	assert.Equal(t, len(first), 4)
+	s.answerStart(first[0], mfsched.ResultDone, "")
+	s.limit(2000)
+	s.pass(400 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+	s.answerStart(first[1], mfsched.ResultUnknown, "")
+	assert.Equal(t, len(taken[mfsched.Stop](s)), 1, "it may have been carried out")
+}
+
+// The same between the decision and the order, which waits until the decision is stored:
+// seconds on a store that is slow.
+func TestDecidedStartIsNotOrderedBeyondALoweredLimit(t *testing.T) {
+	s := newScript(t)
+	s.limit(8000)
+	s.readyWorker("w")
+	s.submitFor("j", 4, nil)
+	s.now = s.now.Add(50 * time.Millisecond)
+	s.step(mfsched.Tick{})
+	s.limit(2000)
+	s.store()
+	s.pass(100 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 2)
+}
