Order no start beyond a limit that was lowered since it was decided

Cause: the limit was looked at when a start is decided and not when it is ordered, or ordered again. Both now look again: what is not ordered yet is given back, and a lost order is not given again, so that the run is stopped and waits. A single run that is larger than its limit still goes on.

--- a/mfsched/account.go
+++ b/mfsched/account.go
@@ -92,6 +92,12 @@
 	return within(sum, a.Most)
 }
 
+// stillAdmits reports whether a run that counts already may be ordered: the limit may have
+// been lowered since it was decided.
+func (a *account) stillAdmits(need mothferry.Resources) bool {
+	return !a.overLimit() || a.used.Add(a.stray) == need
+}
+
 // overLimit reports whether an account has more running than it may, so that what is
 // stopped would not start again.
 func (a *account) overLimit() bool { return a != nil && !within(a.used.Add(a.stray), a.Most) }
--- a/mfsched/loss.go
+++ b/mfsched/loss.go
@@ -152,6 +152,9 @@
 // only the answer was lost.
 func (s *State) startAgain(t *task, now time.Time) {
 	w := t.worker
+	if !t.job.account.stillAdmits(t.step.of.Need) {
+		return
+	}
 	if t.sends >= startTries || !w.listed || w.failing || w.Draining || s.leaving[w.at.Worker] || t.job.state.Final() {
 		return
 	}
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -129,9 +129,14 @@
 		}
 	}
 	for _, r := range s.committing {
-		if r.task.phase == phasePlanned && r.task.run == r.run {
-			s.start(r.task, now)
+		if r.task.phase != phasePlanned || r.task.run != r.run {
+			continue
+		}
+		if !r.task.job.account.stillAdmits(r.task.step.of.Need) {
+			s.giveBack(r.task, now)
+			continue
 		}
+		s.start(r.task, now)
 	}
 	s.committing = nil
 	s.endsStored(now)
