--- /dev/null
+++ b/mfemulate/share_test.go
@@ -0,0 +1,47 @@
+package mfemulate_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfemulate"
+	"mothferry/mfjob"
+	"mothferry/mfsched"
+)
+
+// Two accounts share a pool that holds what both are owed. One sends six times its rate for
+// ten seconds, so that the pool is asked for more than twice what it can do. Served in one
+// order whoever sent them, the jobs that nobody is owed made half of the other account's
+// late. The aim: nine tenths of what is within an account's rate is in time all the same.
+func TestAccountBeyondItsRateMakesOnlyItselfLate(t *testing.T) {
+	for seed := range uint64(3) {
+		w := &mfemulate.World{
+			Limits: limits(), Random: rand.New(rand.NewPCG(seed+1, 9)), Queues: queues(),
+			Accounts: map[mothferry.AccountID]mfsched.Account{"steady": {Weight: 9}, "eager": {Weight: 6}},
+		}
+		w.Begin()
+		w.AddMachines("a", 6, mothferry.Resources{Cores: 16000, Memory: 64 * mothferry.Gibibyte})
+		send := func(account mothferry.AccountID, perSecond float64) {
+			for at := 3 * time.Second; at < 13*time.Second; {
+				at += time.Duration(w.Random.ExpFloat64() / perSecond * float64(time.Second))
+				w.At(at, func() {
+					w.Submit(mfjob.Submission{Queue: "qa", Service: "a", Spec: "spec", Account: account, Steps: []mfjob.Step{{
+						Count: 6, Need: mothferry.Resources{Cores: 1500, Memory: mothferry.Gibibyte}, Estimate: 600 * time.Millisecond,
+					}}})
+				})
+			}
+		}
+		send("steady", 7)
+		send("eager", 36)
+		w.Run(40 * time.Second)
+		steady, eager := w.InTime("steady"), w.InTime("eager")
+		t.Logf("seed %d: in time %.2f of the steady account's jobs, %.2f of the eager one's", seed+1, steady, eager)
+		assert.Equal(t, len(w.Broken), 0)
+		assert.Assert(t, steady >= 0.9)
+		assert.Equal(t, w.Unfinished(), 0, "what is beyond the rate runs too")
+	}
+}
--- a/mfemulate/sum.go
+++ b/mfemulate/sum.go
@@ -109,3 +109,18 @@
 		f.Wide = float64(wideInTime) / float64(wide)
 	}
 }
+
+// InTime returns the part of an account's jobs that were completed in time.
+func (w *World) InTime(account mothferry.AccountID) float64 {
+	jobs, inTime := 0, 0
+	for _, c := range w.jobs {
+		if c.submission.Account != account {
+			continue
+		}
+		jobs++
+		if c.state == mfjob.StateCompleted && c.completed.Sub(c.submission.Accepted) <= w.objective(c) {
+			inTime++
+		}
+	}
+	return float64(inTime) / float64(max(1, jobs))
+}
