--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -48,6 +48,8 @@
 	// Apply takes rows in: all rows of the table if whole is set, else changes.
 	// Rows may come twice.
 	Apply func(rows []mothferry.Row, whole bool)
+	// Heard is told up to when all changes have been applied; it may be nil.
+	Heard func(upTo time.Time)
 
 	episode mflog.Episode
 }
@@ -82,15 +84,17 @@
 }
 
 func (f *Follower) follow(ctx context.Context) error {
+	asked := f.Clock.Now()
 	rows, version, err := ReadParts(ctx, f.Store, f.Table, f.Parts)
 	if err != nil {
 		return err
 	}
-	f.heard()
+	f.answered()
 	f.Apply(rows, true)
+	f.heard(asked)
 	for {
 		began := f.Clock.Now()
-		page, err := f.changes(ctx, version)
+		page, asked, err := f.changes(ctx, version)
 		if err != nil {
 			return err
 		}
@@ -98,6 +102,7 @@
 		if len(page.Rows) > 0 {
 			f.Apply(page.Rows, false)
 		}
+		f.heard(asked)
 		if rest := f.Every - f.Clock.Now().Sub(began); rest > 0 {
 			if !mfclock.Sleep(ctx, f.Clock, rest) {
 				return ctx.Err()
@@ -106,29 +111,37 @@
 	}
 }
 
-// changes asks once more if a call has no answer: a connection that went
+// changes returns what changed after a version, and when it asked. It asks once more if a call has no answer: a connection that went
 // silent is not a store that is out, and the table need not be read anew.
-func (f *Follower) changes(ctx context.Context, version mothferry.Version) (mothferry.RowPage, error) {
+func (f *Follower) changes(ctx context.Context, version mothferry.Version) (mothferry.RowPage, time.Time, error) {
 	pause := shortestPause
 	for {
+		asked := f.Clock.Now()
 		page, err := f.Store.Follow(ctx, f.Table, version, f.Wait)
 		if err == nil {
-			f.heard()
-			return page, nil
+			f.answered()
+			return page, asked, nil
 		}
 		var gone *mothferry.ErrHistoryGone
 		if errors.As(err, &gone) || ctx.Err() != nil {
-			return page, err
+			return page, asked, err
 		}
 		f.episode.Failed(err, "store does not answer for table "+string(f.Table))
 		if !mfclock.Sleep(ctx, f.Clock, f.spread(pause)) {
-			return page, ctx.Err()
+			return page, asked, ctx.Err()
 		}
 		pause = min(2*pause, longestPause)
 	}
 }
 
-func (f *Follower) heard() {
+// heard tells up to when all changes have been applied.
+func (f *Follower) heard(upTo time.Time) {
+	if f.Heard != nil {
+		f.Heard(upTo)
+	}
+}
+
+func (f *Follower) answered() {
 	f.episode.Succeeded("store answers again for table " + string(f.Table))
 }
 
--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -49,6 +49,8 @@
 type News struct {
 	Adopt func(c *mfqueue.Config)
 	Wave  func(w mfsched.Wave)
+	// Heard is told up to when all that the operator asked for is known.
+	Heard func(upTo time.Time)
 }
 
 // Daemon is one running daemon. The exported fields are set before Run.
@@ -64,6 +66,7 @@
 	owner   *mfowner.Owner
 	log     *log.Entry
 	config  atomic.Pointer[mfqueue.Config]
+	heard   atomic.Pointer[time.Time]
 	store   *reach
 	relay   *mfrelay.Relay
 	relays  *mfrelay.Server
@@ -78,6 +81,15 @@
 // Config returns the config in force, nil before the first one.
 func (d *Daemon) Config() *mfqueue.Config { return d.config.Load() }
 
+// ConfigHeard returns up to when all changes of the config are known; zero before the
+// first one.
+func (d *Daemon) ConfigHeard() time.Time {
+	if at := d.heard.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Ended counts the end of a caller's request.
 func (d *Daemon) Ended(kind string, status int, took time.Duration) {
 	d.ended.WithLabelValues(kind, http.StatusText(status)).Observe(took.Seconds())
@@ -217,6 +229,7 @@
 	return d.Outside.Operator(ctx, News{
 		Adopt: func(c *mfqueue.Config) { d.config.Store(c) },
 		Wave:  d.addWave,
+		Heard: func(upTo time.Time) { d.heard.Store(&upTo) },
 	})
 }
 
