Serve what is beyond an account's rate behind what is owed and can be in time

Each account may send its rate, saved up over 3 s; a job beyond that waits behind those that are owed and can be in time, and before late ones. Weighed and not tried: weighted fair shares by what is dominant; refusing at hand-in.

--- a/mfsched/account.go
+++ b/mfsched/account.go
@@ -23,6 +23,8 @@
 	// stray is what runs of it take that should not be there and have not surely ended, as
 	// of the round of placing under way.
 	stray mothferry.Resources
+	// allowed is what it may still send of what it is owed.
+	allowed allowance
 }
 
 // accountOf returns an account by its id, nil for none.
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -24,6 +24,11 @@
 		j.occurrences = append(j.occurrences, newOccurrence(j, k, now))
 	}
 	if e.Progress == nil && s.loaded {
+		if j.beyond = !j.isOwed(now); j.beyond {
+			s.emit(Decision{Message: "job is beyond its account's rate", Job: j.id, Fields: map[string]any{
+				"account": e.Submission.Account, "rate": j.account.Weight, "queue": e.Submission.Queue,
+			}})
+		}
 		s.arrived(j, now)
 	}
 	if e.Progress != nil {
--- a/mfsched/order.go
+++ b/mfsched/order.go
@@ -16,6 +16,8 @@
 	prospectServing prospect = iota
 	// prospectInTime: its objective can be reached.
 	prospectInTime
+	// prospectBeyond: it could be in time, and is beyond what its account is owed.
+	prospectBeyond
 	// prospectLate: it can still be late rather than too late.
 	prospectLate
 	// prospectHopeless: nobody gains by it any more.
@@ -49,6 +51,8 @@
 	slack := begun.Add(aim).Sub(now) - left
 	late := begun.Add(mfjob.LateFactor*aim).Sub(now) - left
 	switch {
+	case j.beyond && slack >= 0:
+		return prospectBeyond, slack
 	case slack >= 0:
 		return prospectInTime, slack
 	case late >= 0:
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -128,7 +128,9 @@
 	id         mothferry.JobID
 	submission mfjob.Submission
 	// account is that of the job; nil for none.
-	account     *account
+	account *account
+	// beyond says that the job is beyond what its account is owed.
+	beyond      bool
 	state       mfjob.State
 	occurrences []*occurrence
 	// touched says that a run was ever ordered.
