--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -81,7 +81,6 @@
 	askAgain = 800 * time.Millisecond
 	// roundTakes is how long a wave's machines take from the choice until they
 	// are back: they run empty, are down for two seconds, and are listed again.
-	// By the owner's log it is 3 to 4 s.
 	roundTakes = 4 * time.Second
 	// paceMargin is left before a wave's deadline, for a takeover.
 	paceMargin = 3 * time.Second
--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -21,9 +21,7 @@
 	pollEvery = 300 * time.Millisecond
 	// ownerLease is how long the head row must be seen unchanged until its
 	// owner counts as gone. An idle owner rewrites it every 350 ms; a store
-	// that is 100 times slower takes 400 ms for that. With 1.1 instead of 1.5 s
-	// 0.830 instead of 0.809 of the worth is served, over 20 plays of days with
-	// faults each.
+	// that is 100 times slower takes 400 ms for that.
 	ownerLease = 1100 * time.Millisecond
 	// shortLease is the same on a store that is well, where an idle owner's commits take
 	// 10 ms. A look at the row tells how well it is: slowLooks times what the last one
--- a/mfpool/pool.go
+++ b/mfpool/pool.go
@@ -20,7 +20,7 @@
 	// drainWithin is over how many seconds machines beyond what keeps up with
 	// arrivals should work off what waits. Work waits because machines are still
 	// on their way; more of them come too late for it and are missing where the
-	// next turn begins. From 1.5 to 4 s the emulator shows no difference.
+	// next turn begins.
 	drainWithin = 2.5
 	// packing is the part of a machine's cores that tasks of several sizes fill.
 	packing = 0.85
@@ -30,8 +30,7 @@
 	// share of the fleet: they take the first two seconds of its turn, until
 	// others have come. It must not depend on what the pool had when an owner
 	// first saw it: after a takeover that may be its peak. What idle pools keep is
-	// missing in the one whose turn it is: with 0.4 the worth in time on the replay
-	// of humps is 0.93 in the mean of 8 plays, with 0.2 it is 0.96.
+	// missing in the one whose turn it is.
 	reserve = 0.2
 	// keepFor is how long a pool's need is remembered before it shrinks.
 	keepFor = 3 * time.Second
--- a/mfrelay/choose.go
+++ b/mfrelay/choose.go
@@ -12,23 +12,18 @@
 
 // The load it answers: the owner of 1,100 workers starts 3,500 tasks a second at the
 // height of a turn and looks at workers as often, which its host's share of a core does
-// not carry: on five days with faults the mean worth is 0.32 with calls of its own and
-// 0.44 over relays, one play each. Decisions can't be divided as simply, as pools trade
+// not carry. Decisions can't be divided as simply, as pools trade
 // machines; calls can.
 
 // Figures of the choice of relays.
 const (
-	// directMost is up to how many workers an owner calls them itself: with 49 it
-	// used 7% of a core, all included. The bound between that and 350 is not measured.
+	// directMost is up to how many workers an owner calls them itself.
 	directMost = 150
 	// directEach is up to how many workers an owner calls itself for each megabit a second of
-	// its link. Calls of its own leave commits no room on a narrow one: on 2 Mbit/s the longest
-	// commit of a second took 0.17, 0.17 and 0.32 s in the mean of three plays, and 0.15, 0.15 and
-	// 0.14 s with relays from 30 workers on. Other figures were not measured.
+	// its link. Calls of its own leave commits no room on a narrow one.
 	directEach = 15
 	// workersEach is for how many workers there is one relay: as many as three strong
-	// hosts of a data centre have each with 220 workers there. Other numbers were not
-	// measured.
+	// hosts of a data centre have each with 220 workers there.
 	workersEach = 80
 	// strongEnough is the part of the strongest host's share with which a host is
 	// preferred as a relay.
--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -24,7 +24,7 @@
 	// dialWithin bounds the making of a connection; a round trip takes 3 ms.
 	dialWithin = 500 * time.Millisecond
 	// beatEvery is how often a relay is heard at least; silentAfter is after how long
-	// of silence it is lost: three beats and some more. Other bounds were not measured.
+	// of silence it is lost: three beats and some more.
 	beatEvery   = 120 * time.Millisecond
 	silentAfter = 450 * time.Millisecond
 	// gatherOrders is how long orders wait for others to go with them: those of one
--- a/mfsched/crash.go
+++ b/mfsched/crash.go
@@ -23,8 +23,8 @@
 // Figures for tasks that end their workers.
 const (
 	// provenAfter is how long a worker has to bear a run for a crash after that to say
-	// little of it. Runs that ended their workers did so within 10 ms; a busy worker has
-	// a start each 30 ms, so that a crash finds three or four runs that are newer.
+	// little of it. A busy worker has a start each 30 ms, so that a crash finds a few runs that
+	// are newer.
 	provenAfter = 100 * time.Millisecond
 	// provenLasting is the same of a lasting task, which is not given up for it: its next
 	// start is only held back, so that slower ones are caught too.
--- a/mfsched/forecast.go
+++ b/mfsched/forecast.go
@@ -22,13 +22,11 @@
 	workMemory = 20 * time.Second
 	// forecastLead is how far ahead it looks: a move takes 1.5 s, and its worker
 	// is listed and looked at within half a second more.
-	// Looking a second further covers what machines need to run empty. On the
-	// replay of humps, with peaks of five times the mean, 3 and 4 s bring a worth
-	// in time of 0.86 and 0.87; the shorter one is wrong by less where a rise ends.
+	// Looking a second further covers what machines need to run empty; beyond that it
+	// is wrong by more where a rise ends.
 	forecastLead = 3 * time.Second
 	// doubt is by how many standard deviations the rates must differ before that
-	// counts as a change of demand: single jobs come at random. Without
-	// doubt the same replay brings 0.85 instead of 0.86.
+	// counts as a change of demand: single jobs come at random.
 	doubt = 0.5
 )
 
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -30,8 +30,7 @@
 	// noticed after 1.1 s, and its last look may be a second older.
 	DefaultHold = 4500 * time.Millisecond
 	// DefaultExtendFor rides out an outage of the store of 4 s, and 4.5 s more as
-	// the leases run out. A successor waits that long for silent workers. With
-	// 2.5 s instead, days with trouble showed no difference.
+	// the leases run out. A successor waits that long for silent workers.
 	DefaultExtendFor = 4 * time.Second
 )
 
@@ -77,9 +76,7 @@
 	maxForget = 45
 	// lookGap is the shortest time between two looks at a worker: ends that
 	// come within it are fetched by one look. Longer gaps cost calls less and
-	// chains of steps more: in the emulator's replay of turns 80 ms bring a worth
-	// in time of 0.55 with fixed pools and 0.81 with moving ones, 40 ms 0.61 and
-	// 0.84, 20 ms 0.64 and 0.86.
+	// chains of steps more.
 	lookGap = 20 * time.Millisecond
 	// lookWait is how long a look waits at a worker for an end where only lasting tasks
 	// run.
--- a/mfsched/loss.go
+++ b/mfsched/loss.go
@@ -12,8 +12,6 @@
 // second a quarter to two fifths of a pool are without new work at any moment; a lost start
 // holds its whole job up, and half of all jobs with a dozen tasks have one. One notices
 // by usable workers that are far fewer than those listed while none of them has ended.
-// On the replay of late.yaml 0.09 of the worth was in time, 0.97 with no call lost; what
-// stands here brings 0.94 (three seeds).
 
 // Figures for calls that are lost.
 const (
--- a/mfsched/order.go
+++ b/mfsched/order.go
@@ -108,10 +108,7 @@
 // urgency orders jobs that can be in time: the smaller goes first. Slack alone
 // does not do where there is more work than room: the room then goes to jobs
 // that all miss by a little. What is nearly done, or small, gives room back
-// soonest. On the load of turns with fixed pools, by the emulator, the worth in
-// time rises from 0.49 with slack alone to 0.65; with moving pools from 0.79 to
-// 0.82, at 0.61 instead of 0.70 of the widest tenth. More weight gives little
-// more worth and costs the wide ones.
+// soonest. More weight gives little and costs the wide ones.
 func (c candidate) urgency() float64 {
 	return c.slack.Seconds() + weightLeft*c.left
 }
--- a/mfsched/over.go
+++ b/mfsched/over.go
@@ -10,8 +10,7 @@
 
 // What is kept of a job that is over: its final state, as long as it can be
 // asked for. What was handed in goes much earlier. A successor reads all that is
-// stored before it starts anything: with what was handed in for the jobs of two
-// minutes a host of a fifth of a core took over three seconds for that.
+// stored before it starts anything, and a weak host takes seconds for the jobs of minutes.
 
 // Figures for jobs that are over.
 const (
--- a/mfsched/wait.go
+++ b/mfsched/wait.go
@@ -8,8 +8,8 @@
 
 // reachShare is the part of all machines' cores that a pool can have once
 // machines have moved to it. An estimate by the workers that are there at the
-// moment turns away what machines on standby or on their way would serve: after
-// a restart, or as a turn begins, a tenth of the jobs were refused.
+// moment turns away what machines on standby or on their way would serve, after
+// a restart or as a turn begins.
 const reachShare = 0.5
 
 // Waits returns how long work that comes now would wait at least in each
