--- a/mfemulate/account_test.go
+++ b/mfemulate/account_test.go
@@ -39,6 +39,7 @@
 // raised and lowered far below what runs while owners change, orders are lost and carried
 // out late: no start brings an account over its limit, and what is over is not ended for it.
 func TestHistoriesWithAccounts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		r := rand.New(rand.NewPCG(seed, 3))
--- a/mfemulate/crash_test.go
+++ b/mfemulate/crash_test.go
@@ -38,6 +38,7 @@
 
 // The same load and its rules alone, which hold whatever is served.
 func TestTasksThatEndWorkersAreBounded(t *testing.T) {
+	t.Parallel()
 	load, err := mfemulate.DecodeLoad("crashing.yaml", mfexample.Crashing)
 	assert.NilError(t, err)
 	for seed := range uint64(3) {
@@ -53,6 +54,7 @@
 // workers have crashed under it, and no job is shown as failed whose tasks had fewer than two.
 // A lasting job is never shown as failed: its task is started once in three seconds then.
 func TestHistoriesWithTasksThatEndWorkers(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		w := crashHistory(seed)
--- a/mfemulate/history_test.go
+++ b/mfemulate/history_test.go
@@ -69,6 +69,7 @@
 // shown as completed that is not; and once the faults are over, every accepted
 // job comes to an end.
 func TestHistories(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		w := history(seed)
@@ -84,6 +85,7 @@
 // within one look, and know nothing of before: the same holds. What such a worker was told
 // in its life before and had not carried out is gone with that life.
 func TestHistoriesUnderOneID(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		w := sameIDHistory(seed)
