Log which run an owner knew where it stops a stray, and what it read of the log

Now: 'run is not its task's, told to stop' with the known run, worker and phase; 'inherited run is not at its worker'; 'progress is read' with the numbers of the log's rows, the newest row that a job's own row refers to, and how many entries were passed over; 'tasks are placed' names each run; 'leases have lapsed' names runs. No decision changes. Tests of mfsched, mfjournal, mfowner and mfcommand pass.

--- a/mfjournal/journal.go
+++ b/mfjournal/journal.go
@@ -69,9 +69,23 @@
 	// oldest is the number of the oldest segment that is still stored.
 	oldest uint64
 	// sizes holds the bytes of each segment that is still stored.
-	sizes map[uint64]mothferry.Bytes
+	sizes   map[uint64]mothferry.Bytes
+	reading Reading
 }
 
+// Reading tells which rows a journal was read from, for the log.
+type Reading struct {
+	// Oldest and Newest are the numbers of the segments; zero for an empty log.
+	Oldest, Newest uint64
+	// After is the newest segment that a job's own row says it is newer than.
+	After uint64
+	// Superseded counts the entries of the log that are older than their job's own row.
+	Superseded int
+}
+
+// Reading returns what the journal was read from; zero if it was not read.
+func (j *Journal) Reading() Reading { return j.reading }
+
 // entry is the newest progress of one job.
 type entry struct {
 	// segment holds it; zero for the job's own row.
@@ -228,6 +242,7 @@
 		}
 		id := mothferry.JobID(r.Key)
 		newest[id], after[id] = p, p.After
+		j.reading.After = max(j.reading.After, p.After)
 		if !p.State.Final() {
 			j.jobs[id] = &entry{progress: p}
 		}
@@ -239,6 +254,7 @@
 			return nil, nil, err
 		}
 	}
+	j.reading.Oldest, j.reading.Newest = j.oldest, j.last
 	return newest, j, nil
 }
 
@@ -267,7 +283,11 @@
 	for id, data := range stored.Jobs {
 		// A job whose row is newer, is over, or was forgotten needs nothing of the log.
 		e, open := j.jobs[id]
-		if !open || number <= after[id] {
+		if !open {
+			continue
+		}
+		if number <= after[id] {
+			j.reading.Superseded++
 			continue
 		}
 		p, err := mfjob.DecodeProgress(data)
--- a/mfowner/restore.go
+++ b/mfowner/restore.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"mothferry"
 	"mothferry/mfclock"
 	"mothferry/mffeed"
@@ -64,7 +66,11 @@
 		}
 		s.progress[id] = &p
 	}
-	s.owner.Log.WithField("jobs", in.jobs).WithField("over", over).WithField("segments", in.segments).Info("progress is read")
+	reading := in.journal.Reading()
+	s.owner.Log.WithFields(log.Fields{
+		"epoch": s.state.Epoch, "jobs": in.jobs, "over": over, "segments": in.segments,
+		"oldest_segment": reading.Oldest, "newest_segment": reading.Newest, "newest_after": reading.After, "superseded": reading.Superseded,
+	}).Info("progress is read")
 	return nil
 }
 
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -1,6 +1,7 @@
 package mfsched
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -51,6 +52,7 @@
 		return
 	}
 	var placed []*worker
+	var runs []string
 	for _, t := range p.tasks {
 		if t.phase != phaseWaiting || now.Before(t.notBefore) || t.awaitsVerdict(now) {
 			continue
@@ -68,11 +70,12 @@
 		}
 		s.plan(t, w, t.run+1)
 		placed = append(placed, w)
+		runs = append(runs, fmt.Sprintf("%d run %d on %s", t.name.Index, t.run, w.at.Worker))
 	}
 	if len(placed) > 0 {
 		s.emit(Decision{Message: "tasks are placed", Job: c.job.id, Fields: map[string]any{
 			"step": p.name.Step, "occurrence": p.name.Occurrence, "tasks": len(placed), "waiting": p.waiting,
-			"prospect": int(c.prospect), "slack_ms": c.slack.Milliseconds(), "workers": ids(placed),
+			"prospect": int(c.prospect), "slack_ms": c.slack.Milliseconds(), "workers": ids(placed), "runs": runs,
 		}})
 	}
 }
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -124,6 +124,9 @@
 	if now.Sub(w.stray[r].told) < stopRetry {
 		return
 	}
+	if _, told := w.stray[r]; !told {
+		s.noteStray(w, r)
+	}
 	stop := strayStop{told: now}
 	if t := s.lookUp(r.task); t != nil {
 		stop.room, stop.need, stop.account = t.step.of.Room(), t.step.of.Need, t.job.account
@@ -132,6 +135,20 @@
 	s.emit(Stop{At: w.at, Task: r.task, Run: r.run})
 }
 
+// noteStray logs which run is stopped as a stray, and what is known of its task instead.
+func (s *State) noteStray(w *worker, r strayRun) {
+	d := Decision{Message: "run is not its task's, told to stop", Job: r.task.Job, Worker: w.at.Worker, Fields: map[string]any{
+		"occurrence": r.task.Occurrence, "step": r.task.Step, "index": r.task.Index, "run": r.run, "first_look": !w.sealed,
+	}}
+	if t := s.lookUp(r.task); t != nil {
+		d.Fields["known_run"], d.Fields["known_phase"], d.Fields["state"] = t.run, t.phase.String(), t.job.state
+		if t.worker != nil {
+			d.Fields["known_worker"] = t.worker.at.Worker
+		}
+	}
+	s.emit(d)
+}
+
 func (s *State) stopAgain(t *task, now time.Time) {
 	if now.Sub(t.stopSent) >= stopRetry {
 		t.stopSent = now
@@ -147,6 +164,9 @@
 		case !w.sealed && !t.mayStartLate(looked):
 			// The first look of this epoch: an order of an earlier owner that
 			// has not arrived by now is refused for its epoch.
+			s.emit(Decision{Message: "inherited run is not at its worker", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{
+				"occurrence": t.name.Occurrence, "step": t.name.Step, "index": t.name.Index, "run": t.run,
+			}})
 			s.giveBack(t, now)
 		case !t.stopped.IsZero() && t.stopped.Before(looked):
 			// The stop was carried out before the look, so that a start that
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -44,7 +44,9 @@
 		if !s.lapsed(w, now) {
 			continue
 		}
-		s.emit(Decision{Message: "leases have lapsed", Worker: w.at.Worker, Fields: map[string]any{"tasks": len(w.tasks), "unread_ms": now.Sub(w.read).Milliseconds()}})
+		s.emit(Decision{Message: "leases have lapsed", Worker: w.at.Worker, Fields: map[string]any{
+			"tasks": len(w.tasks), "unread_ms": now.Sub(w.read).Milliseconds(), "sealed": w.sealed, "newest": w.newestRuns(),
+		}})
 		runs := w.pick(func(t *task) bool { return t.phase != phasePlanned })
 		for _, t := range runs {
 			t.crashes.Unseen++
