--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -170,3 +170,22 @@
 	got, _ := stored.read(t)
 	assert.Equal(t, len(got), 500)
 }
+
+// A successor that reads an empty log and writes on must not hide what it writes from the next one,
+// which would start tasks that run.
+func TestProgressAfterAnEmptiedLogIsRead(t *testing.T) {
+	j := &mfjournal.Journal{}
+	stored := newStore()
+	write := func(id mothferry.JobID, p mfjob.Progress) {
+		stored.apply(t, j.Write(map[mothferry.JobID]mfjob.Progress{id: p}))
+	}
+	write("short", progress(1, 1))
+	write("short", progress(2, 1))
+	write("lasts", progress(1, 2))
+	write("short", mfjob.Progress{State: mfjob.StateCompleted})
+	assert.Equal(t, len(stored[mfrecord.TableLog]), 0)
+	_, j = stored.read(t)
+	write("lasts", progress(2, 2))
+	got, _ := stored.read(t)
+	assert.DeepEqual(t, got["lasts"], progress(2, 2))
+}
--- /dev/null
+++ b/mfowner/successor_test.go
@@ -0,0 +1,170 @@
+package mfowner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfrecord"
+	"mothferry/mfstandin"
+)
+
+// seriesWorkers run tasks over a series of owners and note two runs of one task at once.
+type seriesWorkers struct {
+	loadWorkers
+
+	// lasting is the job whose tasks run until they are stopped or fail.
+	lasting mothferry.JobID
+	twice   []string
+	stops   int
+}
+
+// Start implements mothferry.TaskWorkers.
+func (s *seriesWorkers) Start(ctx context.Context, at mothferry.WorkerAddress, o mothferry.StartOrder) (mothferry.WorkerClock, error) {
+	if o.Task.Job != s.lasting {
+		return s.loadWorkers.Start(ctx, at, o)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, w := range s.workers {
+		if run, there := w.running[o.Task]; there && (id != at.Worker || run != o.Run) {
+			s.twice = append(s.twice, fmt.Sprintf("%v starts as run %d on %s and runs as run %d on %s", o.Task, o.Run, at.Worker, run, id))
+		}
+	}
+	s.at(at.Worker).running[o.Task] = o.Run
+	return loadClock(), nil
+}
+
+// stopTakes is how long a run takes to end that was told to.
+const stopTakes = 300 * time.Millisecond
+
+// Stop implements mothferry.TaskWorkers.
+func (s *seriesWorkers) Stop(_ context.Context, at mothferry.WorkerAddress, task mothferry.TaskName, _ mothferry.RunNumber, _ mothferry.Epoch) (mothferry.WorkerClock, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stops++
+	time.AfterFunc(stopTakes, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.end(at.Worker, task, mothferry.EndStopped)
+	})
+	return loadClock(), nil
+}
+
+// end ends a run on a worker and lists that; the mutex is held.
+func (s *seriesWorkers) end(id mothferry.WorkerID, task mothferry.TaskName, how mothferry.EndCause) {
+	w := s.at(id)
+	run, there := w.running[task]
+	if !there {
+		return
+	}
+	delete(w.running, task)
+	w.last++
+	w.ends = append(w.ends, mothferry.EndedTask{Number: w.last, Task: task, Run: run, Cause: how})
+	close(w.ended)
+	w.ended = make(chan struct{})
+}
+
+// runsOf returns the highest run of each task of the lasting job that is at work.
+func (s *seriesWorkers) runsOf() map[mothferry.TaskName]mothferry.RunNumber {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	runs := map[mothferry.TaskName]mothferry.RunNumber{}
+	for _, w := range s.workers {
+		for task, run := range w.running {
+			if task.Job == s.lasting {
+				runs[task] = max(runs[task], run)
+			}
+		}
+	}
+	return runs
+}
+
+// failOne has one task of the lasting job fail.
+func (s *seriesWorkers) failOne() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, w := range s.workers {
+		for task := range w.running {
+			if task.Job == s.lasting {
+				s.end(id, task, mothferry.EndFailed)
+				return
+			}
+		}
+	}
+}
+
+// eventually waits until something holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within ten seconds: %s", what)
+}
+
+// submit stores what a caller hands in.
+func submit(t *testing.T, store mothferry.RowStore, id mothferry.JobID, steps ...mfjob.Step) {
+	t.Helper()
+	value, err := mfjob.EncodeSubmission(mfjob.Submission{Queue: "q", Service: "s", Accepted: time.Now(), Steps: steps})
+	assert.NilError(t, err)
+	_, err = store.Commit(context.Background(), mothferry.Txn{Writes: []mothferry.Write{{Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.JobKey(id), Value: value}}})
+	assert.NilError(t, err)
+}
+
+// storedIn reports whether a table of the shard has rows.
+func storedIn(t *testing.T, store mothferry.RowStore, table mothferry.TableID) []mothferry.Row {
+	t.Helper()
+	page, err := store.Range(context.Background(), mothferry.RowRange{Table: table, Part: mfrecord.PartShard})
+	assert.NilError(t, err)
+	return page.Rows
+}
+
+// A third owner must not start a lasting task that runs, or stop it, after the second one has found an
+// empty log and stored that the task moved.
+func TestTakeoverAfterAnEmptiedLogKeepsLastingTasks(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	workers := &seriesWorkers{lasting: "lasts", loadWorkers: loadWorkers{workers: map[mothferry.WorkerID]*loadWorker{}, takes: 300 * time.Millisecond}}
+	need := mothferry.Resources{Cores: 1000, Memory: mothferry.Gibibyte}
+	own := func(name mothferry.DaemonID, during func()) {
+		o, _ := logged(name, rows)
+		o.Workers, o.Listing, o.Machines = workers, loadListing(4), loadMachines(4)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = o.Run(ctx) })
+		eventually(t, "the shard has an owner", o.Owning)
+		during()
+		cancel()
+		running.Wait()
+	}
+	own("h-1", func() {
+		submit(t, rows, "short", mfjob.Step{Count: 1, Need: need}, mfjob.Step{Count: 1, Need: need, After: []int{0}})
+		eventually(t, "the log has rows", func() bool { return len(storedIn(t, rows, mfrecord.TableLog)) > 0 })
+		submit(t, rows, "lasts", mfjob.Step{Count: 2, Need: need, Lasting: true, MayMiss: 1})
+		eventually(t, "the lasting tasks run", func() bool { return len(workers.runsOf()) == 2 })
+		eventually(t, "the log is empty", func() bool { return len(storedIn(t, rows, mfrecord.TableLog)) == 0 })
+	})
+	own("h-2", func() {
+		time.Sleep(200 * time.Millisecond)
+		workers.failOne()
+		eventually(t, "the task that failed runs again", func() bool {
+			runs := workers.runsOf()
+			again := slices.ContainsFunc([]int{0, 1}, func(i int) bool { return runs[mothferry.TaskName{Job: "lasts", Index: i}] == 2 })
+			return len(runs) == 2 && again
+		})
+	})
+	own("h-3", func() { time.Sleep(time.Second) })
+	workers.mutex.Lock()
+	defer workers.mutex.Unlock()
+	assert.Equal(t, len(workers.twice), 0, "%v", workers.twice)
+	assert.Equal(t, workers.stops, 0, "runs were stopped")
+}
