Order a job's two stored rows by the store's versions, not by a number that can begin again

Cause: the log of progress is numbered by its owner, a successor went on from the highest number that it found, and found none if the log was empty just then. Jobs' own rows say by such a number ('after') what they are newer than, and outlive the log's rows. So what the second owner wrote as numbers 1, 2, 3 counted as older than own rows with a higher one; the third owner knew the job's tasks by former runs, found these gone from their workers, started them elsewhere, and stopped the true runs as strays without regard to what was away beside them. Class: an order told by a counter that is made from rows which can go, compared with references that stay. Mended: which of two rows was written last is told by the store's own versions, which never begin again; that also reads rightly what an earlier program has stored in this state. Numbers of the log go on from the highest one that any row names, since a program of the release before still reads by them while hosts are replaced.

--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -102,8 +102,8 @@
 	Account mothferry.AccountID
 	// Occurrences holds the steps of each occurrence; empty for a job that is over.
 	Occurrences [][]StepProgress
-	// After is the number of the newest segment of the shard's log that this is newer
-	// than; zero for what is in the log itself.
+	// After is the number of the newest segment of the shard's log when this was written; zero
+	// for what is in the log itself. Older programs read by it which of the two is newer.
 	After uint64
 }
 
--- a/mfjournal/journal.go
+++ b/mfjournal/journal.go
@@ -199,7 +199,7 @@
 	return rows
 }
 
-// ownRow is the row of one job; after is the segment that it is newer than.
+// ownRow is the row of one job; after is the newest segment when it was written.
 func ownRow(id mothferry.JobID, p mfjob.Progress, after uint64) mothferry.Write {
 	p.After = after
 	return mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: mfjob.EncodeProgress(p)}
@@ -234,32 +234,34 @@
 func Read(own, log []mothferry.Row) (map[mothferry.JobID]mfjob.Progress, *Journal, error) {
 	j := &Journal{jobs: map[mothferry.JobID]*entry{}, live: map[uint64]map[mothferry.JobID]*entry{}, sizes: map[uint64]mothferry.Bytes{}}
 	newest := map[mothferry.JobID]mfjob.Progress{}
-	after := map[mothferry.JobID]uint64{}
+	written := map[mothferry.JobID]mothferry.Version{}
 	for _, r := range own {
 		p, err := mfjob.DecodeProgress(r.Value)
 		if err != nil {
 			return nil, nil, err
 		}
 		id := mothferry.JobID(r.Key)
-		newest[id], after[id] = p, p.After
-		j.reading.After = max(j.reading.After, p.After)
+		newest[id], written[id] = p, r.Version
+		// An older program goes by After: numbers of the log must not begin again below it.
+		j.last = max(j.last, p.After)
 		if !p.State.Final() {
 			j.jobs[id] = &entry{progress: p}
 		}
 	}
+	j.reading.After = j.last
 	log = slices.Clone(log)
 	slices.SortFunc(log, func(a, b mothferry.Row) int { return cmp.Compare(a.Key, b.Key) })
 	for _, r := range log {
-		if err := j.read(r, newest, after); err != nil {
+		if err := j.read(r, newest, written); err != nil {
 			return nil, nil, err
 		}
 	}
-	j.reading.Oldest, j.reading.Newest = j.oldest, j.last
 	return newest, j, nil
 }
 
-// read takes in one row of the log; they come in order.
-func (j *Journal) read(r mothferry.Row, newest map[mothferry.JobID]mfjob.Progress, after map[mothferry.JobID]uint64) error {
+// read takes in one row of the log; they come in order. Written holds the versions of the
+// jobs' own rows: the store's versions alone tell which of two rows was written last.
+func (j *Journal) read(r mothferry.Row, newest map[mothferry.JobID]mfjob.Progress, written map[mothferry.JobID]mothferry.Version) error {
 	number, err := mfrecord.LogNumber(r.Key)
 	if err != nil {
 		return err
@@ -274,10 +276,11 @@
 	if stored.Format > format {
 		return &ErrNewerFormat{stored.Format}
 	}
-	j.last = number
+	j.last = max(j.last, number)
 	if j.oldest == 0 {
 		j.oldest = number
 	}
+	j.reading.Oldest, j.reading.Newest = j.oldest, number
 	j.live[number] = map[mothferry.JobID]*entry{}
 	j.sizes[number] = mothferry.Bytes(len(r.Value))
 	for id, data := range stored.Jobs {
@@ -286,7 +289,7 @@
 		if !open {
 			continue
 		}
-		if number <= after[id] {
+		if r.Version < written[id] {
 			j.reading.Superseded++
 			continue
 		}
--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,34 +16,37 @@
 	"mothferry/mfrecord"
 )
 
-// store holds the rows of a shard.
-type store map[mothferry.TableID]map[mothferry.Key][]byte
+// store holds the rows of a shard, which have the version of the transaction that wrote them.
+type store struct {
+	tables  map[mothferry.TableID]map[mothferry.Key]mothferry.Row
+	version mothferry.Version
+}
 
-func newStore() store {
-	return store{mfrecord.TableProgress: {}, mfrecord.TableLog: {}}
+func newStore() *store {
+	return &store{tables: map[mothferry.TableID]map[mothferry.Key]mothferry.Row{mfrecord.TableProgress: {}, mfrecord.TableLog: {}}}
 }
 
-func (s store) apply(t assert.TestingT, rows []mothferry.Write) {
+func (s *store) apply(t assert.TestingT, rows []mothferry.Write) {
+	s.version++
 	for _, w := range rows {
 		assert.Assert(t, len(w.Value) <= 65536, "%d", len(w.Value))
 		if w.Delete {
-			delete(s[w.Table], w.Key)
+			delete(s.tables[w.Table], w.Key)
 			continue
 		}
-		s[w.Table][w.Key] = w.Value
+		s.tables[w.Table][w.Key] = mothferry.Row{Table: w.Table, Key: w.Key, Value: w.Value, Version: s.version}
 	}
 }
 
-func (s store) rows(table mothferry.TableID) []mothferry.Row {
-	var rows []mothferry.Row
-	for k, v := range s[table] {
-		rows = append(rows, mothferry.Row{Table: table, Key: k, Value: v})
-	}
-	return rows
+func (s *store) rows(table mothferry.TableID) []mothferry.Row {
+	return slices.Collect(maps.Values(s.tables[table]))
 }
 
+// logRows is how many rows the log has.
+func (s *store) logRows() int { return len(s.tables[mfrecord.TableLog]) }
+
 // read reads the shard as a successor does.
-func (s store) read(t assert.TestingT) (map[mothferry.JobID]mfjob.Progress, *mfjournal.Journal) {
+func (s *store) read(t assert.TestingT) (map[mothferry.JobID]mfjob.Progress, *mfjournal.Journal) {
 	newest, j, err := mfjournal.Read(s.rows(mfrecord.TableProgress), s.rows(mfrecord.TableLog))
 	assert.NilError(t, err)
 	for id, p := range newest {
@@ -96,7 +101,7 @@
 				got, j = stored.read(t)
 				assert.DeepEqual(t, got, want)
 			}
-			assert.Assert(t, len(stored[mfrecord.TableLog]) <= 100, "%d", len(stored[mfrecord.TableLog]))
+			assert.Assert(t, stored.logRows() <= 100, "%d", stored.logRows())
 		}
 		got, _ := stored.read(t)
 		assert.DeepEqual(t, got, want)
@@ -135,8 +140,8 @@
 	for run := range 300 {
 		write("changes", run+2)
 	}
-	assert.Assert(t, len(stored[mfrecord.TableLog]) < 70, "%d", len(stored[mfrecord.TableLog]))
-	assert.Assert(t, strings.Contains(string(stored[mfrecord.TableProgress]["lasts"]), `"after"`))
+	assert.Assert(t, stored.logRows() < 70, "%d", stored.logRows())
+	assert.Assert(t, strings.Contains(string(stored.tables[mfrecord.TableProgress]["lasts"].Value), `"after"`))
 	got, _ := stored.read(t)
 	assert.DeepEqual(t, got["lasts"], progress(2, 2))
 }
@@ -163,8 +168,8 @@
 		stored.apply(t, j.Write(changed))
 	}
 	size := 0
-	for _, value := range stored[mfrecord.TableLog] {
-		size += len(value)
+	for _, row := range stored.tables[mfrecord.TableLog] {
+		size += len(row.Value)
 	}
 	assert.Assert(t, size < 400_000, "%d bytes", size)
 	got, _ := stored.read(t)
@@ -183,9 +188,51 @@
 	write("short", progress(2, 1))
 	write("lasts", progress(1, 2))
 	write("short", mfjob.Progress{State: mfjob.StateCompleted})
-	assert.Equal(t, len(stored[mfrecord.TableLog]), 0)
+	assert.Equal(t, stored.logRows(), 0)
 	_, j = stored.read(t)
 	write("lasts", progress(2, 2))
 	got, _ := stored.read(t)
 	assert.DeepEqual(t, got["lasts"], progress(2, 2))
 }
+
+// The same with few jobs at a time, so that the log is often empty when another owner reads it. A program that
+// goes by After reads the same: no row of the log has a number that an older row already refers to.
+func TestFewJobsAreReadAsWrittenLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stored, want := newStore(), map[mothferry.JobID]mfjob.Progress{}
+		j := &mfjournal.Journal{}
+		var open []mothferry.JobID
+		for round := range 60 {
+			if len(open) == 0 || len(open) < 4 && rapid.IntRange(0, 3).Draw(t, "begins") == 0 {
+				open = append(open, mothferry.JobID(fmt.Sprintf("j-%03d", round)))
+			}
+			at := rapid.IntRange(0, len(open)-1).Draw(t, "job")
+			id, p := open[at], progress(round+1, 2)
+			if rapid.IntRange(0, 4).Draw(t, "over") == 0 {
+				p = mfjob.Progress{State: mfjob.StateCompleted}
+				open = slices.Delete(open, at, at+1)
+			}
+			highest := uint64(0)
+			for _, row := range stored.rows(mfrecord.TableProgress) {
+				before, err := mfjob.DecodeProgress(row.Value)
+				assert.NilError(t, err)
+				highest = max(highest, before.After)
+			}
+			rows := j.Write(map[mothferry.JobID]mfjob.Progress{id: p})
+			for _, w := range rows {
+				if w.Table == mfrecord.TableLog && !w.Delete {
+					number, err := mfrecord.LogNumber(w.Key)
+					assert.NilError(t, err)
+					assert.Assert(t, number > highest, "%d, %d", number, highest)
+				}
+			}
+			stored.apply(t, rows)
+			want[id] = p
+			if rapid.IntRange(0, 2).Draw(t, "takeover") == 0 {
+				var got map[mothferry.JobID]mfjob.Progress
+				got, j = stored.read(t)
+				assert.DeepEqual(t, got, want)
+			}
+		}
+	})
+}
