--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -70,7 +70,9 @@
 		}
 		s.plan(t, w, t.run+1)
 		placed = append(placed, w)
-		runs = append(runs, fmt.Sprintf("%d run %d on %s", t.name.Index, t.run, w.at.Worker))
+		if p.of.Lasting {
+			runs = append(runs, fmt.Sprintf("%d run %d on %s", t.name.Index, t.run, w.at.Worker))
+		}
 	}
 	if len(placed) > 0 {
 		s.emit(Decision{Message: "tasks are placed", Job: c.job.id, Fields: map[string]any{
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -164,9 +164,7 @@
 		case !w.sealed && !t.mayStartLate(looked):
 			// The first look of this epoch: an order of an earlier owner that
 			// has not arrived by now is refused for its epoch.
-			s.emit(Decision{Message: "inherited run is not at its worker", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{
-				"occurrence": t.name.Occurrence, "step": t.name.Step, "index": t.name.Index, "run": t.run,
-			}})
+			s.noteInherited(w, t)
 			s.giveBack(t, now)
 		case !t.stopped.IsZero() && t.stopped.Before(looked):
 			// The stop was carried out before the look, so that a start that
@@ -184,6 +182,17 @@
 	}
 }
 
+// noteInherited logs that a lasting task's run is not where the former owner stored it to be. Others are
+// not told one by one: after a long silence all of them may be gone.
+func (s *State) noteInherited(w *worker, t *task) {
+	if !t.step.of.Lasting {
+		return
+	}
+	s.emit(Decision{Message: "inherited run is not at its worker", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{
+		"step": t.name.Step, "index": t.name.Index, "run": t.run,
+	}})
+}
+
 // giveBack lets a task wait again whose run is known to be over.
 func (s *State) giveBack(t *task, now time.Time) {
 	s.release(t)
