End the connection of a session between hosts first, so that its readers don't poll

Cause, by reading yamux and by the test: Session.Close announces the end, then waits for the receiving goroutine, and only then ends the streams; a blocked Stream.Read wakes by the announcement, finds its stream open and goes round without a pause. Now all sessions come from mfsession: our own close and a write error end the connection first, and the session is announced over by the receiving goroutine, which is done by then. Weighed: protodelim over the connection itself where it carries one stream (mfrelay): less code, but mfpeer needs sessions all the same, and links between hosts would speak two protocols; ending the streams before the session: yamux offers no such call, and Stream.Close alone leaves a blocked read blocked until the other side answers. Ruled out: mfpeer's and mfrelay's own loops, none of which goes round without blocking (read).

--- a/mfpeer/call.go
+++ b/mfpeer/call.go
@@ -15,6 +15,7 @@
 	"mothferry/mfdocument"
 	"mothferry/mfpeer/mfwire"
 	"mothferry/mfplacement"
+	"mothferry/mfsession"
 	"mothferry/mfsnapshot"
 )
 
@@ -51,7 +52,7 @@
 	return reply, nil
 }
 
-func (m *Mesh) exchange(ctx context.Context, session *yamux.Session, call *mfwire.Call) (*mfwire.Reply, error) {
+func (m *Mesh) exchange(ctx context.Context, session *mfsession.Session, call *mfwire.Call) (*mfwire.Reply, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -90,7 +91,7 @@
 		if err != nil {
 			return
 		}
-		session, err := yamux.Server(m.Traffic.Wrap(connection), m.sessionConfig())
+		session, err := mfsession.Server(m.Traffic.Wrap(connection), m.sessionConfig())
 		if err != nil {
 			_ = connection.Close()
 			continue
@@ -102,7 +103,7 @@
 	}
 }
 
-func (m *Mesh) serveSession(ctx context.Context, session *yamux.Session) {
+func (m *Mesh) serveSession(ctx context.Context, session *mfsession.Session) {
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
--- a/mfpeer/mesh.go
+++ b/mfpeer/mesh.go
@@ -21,6 +21,7 @@
 	"mothferry/mfclock"
 	"mothferry/mfpeer/mfwire"
 	"mothferry/mfplacement"
+	"mothferry/mfsession"
 	"mothferry/mfsnapshot"
 	"mothferry/mftraffic"
 )
@@ -94,16 +95,16 @@
 
 	mutex    sync.Mutex
 	states   map[mothferry.DaemonID]*State
-	sessions map[mothferry.DaemonID]*yamux.Session
-	incoming map[*yamux.Session]struct{}
+	sessions map[mothferry.DaemonID]*mfsession.Session
+	incoming map[*mfsession.Session]struct{}
 	spills   *spillListener
 }
 
 // Prepare readies a mesh for use before Run.
 func (m *Mesh) Prepare() {
 	m.states = map[mothferry.DaemonID]*State{}
-	m.sessions = map[mothferry.DaemonID]*yamux.Session{}
-	m.incoming = map[*yamux.Session]struct{}{}
+	m.sessions = map[mothferry.DaemonID]*mfsession.Session{}
+	m.incoming = map[*mfsession.Session]struct{}{}
 	m.spills = newSpillListener()
 	for _, p := range m.Peers {
 		m.states[p.Daemon] = &State{Peer: p}
@@ -273,13 +274,13 @@
 	}
 }
 
-func (m *Mesh) dial(ctx context.Context, p Peer) (*yamux.Session, error) {
+func (m *Mesh) dial(ctx context.Context, p Peer) (*mfsession.Session, error) {
 	dialer := &net.Dialer{Timeout: m.Connect}
 	connection, err := dialer.DialContext(ctx, "tcp", p.Address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	session, err := yamux.Client(m.Traffic.Wrap(connection), m.sessionConfig())
+	session, err := mfsession.Client(m.Traffic.Wrap(connection), m.sessionConfig())
 	if err != nil {
 		_ = connection.Close()
 		return nil, trace.Wrap(err)
@@ -293,7 +294,7 @@
 // beat exchanges heartbeats with a peer until a call fails. Of two peers only
 // the one with the smaller id begins: the reply carries the other's status.
 // The other side merely watches its session.
-func (m *Mesh) beat(ctx context.Context, p Peer, session *yamux.Session) {
+func (m *Mesh) beat(ctx context.Context, p Peer, session *mfsession.Session) {
 	for ctx.Err() == nil {
 		if m.Self < p.Daemon {
 			if _, err := m.Exchange(ctx, p); err != nil {
@@ -319,7 +320,7 @@
 	m.Node.Heard(p, status)
 }
 
-func (m *Mesh) session(peer mothferry.DaemonID) (*yamux.Session, error) {
+func (m *Mesh) session(peer mothferry.DaemonID) (*mfsession.Session, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	session, ok := m.sessions[peer]
@@ -329,7 +330,7 @@
 	return session, nil
 }
 
-func (m *Mesh) drop(peer mothferry.DaemonID, session *yamux.Session) {
+func (m *Mesh) drop(peer mothferry.DaemonID, session *mfsession.Session) {
 	_ = session.Close()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -17,6 +17,7 @@
 	"mothferry"
 	"mothferry/mfrecord"
 	"mothferry/mfrelay/mfwire"
+	"mothferry/mfsession"
 )
 
 // Times and bounds of a link.
@@ -72,7 +73,7 @@
 	// ended is why the link has ended; nil while it has not.
 	ended   error
 	left    int
-	session *yamux.Session
+	session *mfsession.Session
 	number  uint64
 	orders  []*mfwire.Order
 	pending map[uint64]waiting
@@ -123,7 +124,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	session, err := yamux.Client(connection, sessionConfig())
+	session, err := mfsession.Client(connection, sessionConfig())
 	if err != nil {
 		_ = connection.Close()
 		return nil, trace.Wrap(err)
--- a/mfrelay/server.go
+++ b/mfrelay/server.go
@@ -9,11 +9,11 @@
 
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"mothferry"
 	"mothferry/mfrelay/mfwire"
+	"mothferry/mfsession"
 )
 
 // mostOrders bounds the orders of one owner that a relay carries out at a time: 80
@@ -57,7 +57,7 @@
 			}
 			return trace.Wrap(err)
 		}
-		session, err := yamux.Server(connection, sessionConfig())
+		session, err := mfsession.Server(connection, sessionConfig())
 		if err != nil {
 			_ = connection.Close()
 			continue
@@ -93,7 +93,7 @@
 // served is one owner's session.
 type served struct {
 	server  *Server
-	session *yamux.Session
+	session *mfsession.Session
 	wake    chan struct{}
 	done    chan struct{}
 
@@ -102,7 +102,7 @@
 	open     int
 }
 
-func (s *Server) serve(ctx context.Context, session *yamux.Session) {
+func (s *Server) serve(ctx context.Context, session *mfsession.Session) {
 	v := &served{server: s, session: session, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	s.mutex.Lock()
 	if s.sessions == nil {
--- /dev/null
+++ b/mfsession/session_test.go
@@ -0,0 +1,164 @@
+package mfsession_test
+
+import (
+	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"io/fs"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"gotest.tools/v3/assert"
+
+	"mothferry/mfsession"
+)
+
+// endTakes is how long a read takes to return after its connection has ended.
+const endTakes = 300 * time.Millisecond
+
+var errBroken = errors.New("the connection is broken")
+
+// lateConnection is a connection whose reads return late once it has ended.
+type lateConnection struct {
+	net.Conn
+
+	broken atomic.Bool
+}
+
+func (c *lateConnection) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if err != nil {
+		time.Sleep(endTakes)
+	}
+	return n, err
+}
+
+func (c *lateConnection) Write(data []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, errBroken
+	}
+	return c.Conn.Write(data)
+}
+
+// blocked returns a session of which one stream's read is blocked, its connection, the other side, and a
+// channel that is closed when the read has ended.
+func blocked(t *testing.T) (*mfsession.Session, *lateConnection, *mfsession.Session, <-chan struct{}) {
+	t.Helper()
+	near, far := net.Pipe()
+	late := &lateConnection{Conn: near}
+	config := yamux.DefaultConfig()
+	config.LogOutput, config.EnableKeepAlive = io.Discard, false
+	client, err := mfsession.Client(late, config)
+	assert.NilError(t, err)
+	server, err := mfsession.Server(far, config)
+	assert.NilError(t, err)
+	stream, err := client.OpenStream()
+	assert.NilError(t, err)
+	_, err = stream.Write([]byte("x"))
+	assert.NilError(t, err)
+	_, err = server.AcceptStream()
+	assert.NilError(t, err)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = stream.Read(make([]byte, 1))
+	}()
+	time.Sleep(50 * time.Millisecond)
+	return client, late, server, read
+}
+
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// A blocked read must not use a core until its session has ended.
+func TestEndOfASessionUsesNoProcessor(t *testing.T) {
+	for name, end := range map[string]func(t *testing.T, s *mfsession.Session, c *lateConnection, other *mfsession.Session){
+		"by our own close": func(t *testing.T, s *mfsession.Session, _ *lateConnection, _ *mfsession.Session) {
+			assert.NilError(t, s.Close())
+		},
+		"by the other side": func(t *testing.T, _ *mfsession.Session, _ *lateConnection, other *mfsession.Session) {
+			assert.NilError(t, other.Close())
+		},
+		"by a write error": func(_ *testing.T, s *mfsession.Session, c *lateConnection, _ *mfsession.Session) {
+			c.broken.Store(true)
+			_, _ = s.Ping()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			session, connection, other, read := blocked(t)
+			before := processorTime(t)
+			end(t, session, connection, other)
+			<-read
+			used := processorTime(t) - before
+			assert.Assert(t, used < endTakes/3, "%v of processor time", used)
+			assert.NilError(t, session.Close())
+			assert.NilError(t, other.Close())
+			assert.Assert(t, session.IsClosed())
+		})
+	}
+}
+
+// Closing a session at once and from many sides must not wait for good.
+func TestSessionClosesFromManySides(t *testing.T) {
+	for range 5 {
+		session, connection, other, read := blocked(t)
+		connection.broken.Store(true)
+		closed := make(chan struct{}, 4)
+		for _, s := range []*mfsession.Session{session, session, other, other} {
+			go func() {
+				_, _ = s.Ping()
+				_ = s.Close()
+				closed <- struct{}{}
+			}()
+		}
+		for range 4 {
+			<-closed
+		}
+		<-read
+	}
+}
+
+// A session that is used beside this package would use a core as it ends.
+func TestSessionsBeginHereAlone(t *testing.T) {
+	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || filepath.Dir(path) == "../mfsession" {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		for _, name := range []string{"yamux.Client", "yamux.Server"} {
+			source, selector, _ := strings.Cut(name, ".")
+			assert.Check(t, !selects(file, source, selector), "%s begins a session by %s", path, name)
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+}
+
+// selects reports whether a file names something of a package.
+func selects(file *ast.File, source, name string) bool {
+	found := false
+	ast.Inspect(file, func(n ast.Node) bool {
+		if s, ok := n.(*ast.SelectorExpr); ok && s.Sel.Name == name {
+			if x, ok := s.X.(*ast.Ident); ok && x.Name == source {
+				found = true
+			}
+		}
+		return true
+	})
+	return found
+}
