Watch in rounds whether the process uses a whole core

Where the time can't be read one line says so and nothing else ends. The runtime's own figures (runtime/metrics) are brought up to date only as garbage is collected, so that getrusage is read.

--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -26,6 +26,7 @@
 	"mothferry/mfqueue"
 	"mothferry/mfrelay"
 	"mothferry/mfsched"
+	"mothferry/mfusage"
 )
 
 // Outside is what the daemon speaks with, as an adapter provides it.
@@ -76,6 +77,7 @@
 	ended   *prometheus.HistogramVec
 	calls   *prometheus.HistogramVec
 	refused prometheus.Counter
+	usage   *mfusage.Watch
 }
 
 // Config returns the config in force, nil before the first one.
@@ -132,7 +134,7 @@
 	}
 	parts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	done := d.supervise(parts, part{"operator", d.followOperator}, part{"owner", d.owner.Run})
+	done := d.supervise(parts, part{"operator", d.followOperator}, part{"owner", d.owner.Run}, part{"usage", d.usage.Run})
 	relaying, endRelaying := context.WithCancel(context.WithoutCancel(ctx))
 	defer endRelaying()
 	relayed := d.supervise(relaying, d.relayParts()...)
@@ -180,7 +182,11 @@
 	d.refused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "mothferry_worker_entries_refused_total", Help: "Workers' entries that were read and name no worker to use.",
 	})
-	d.Registry.MustRegister(d.refused, d.ended, d.calls, decisions, commits, owning)
+	d.usage = &mfusage.Watch{Clock: d.Clock, Used: mfusage.ProcessorTime, Log: d.Log("usage")}
+	cores := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "mothferry_cores_used", Help: "Cores that this daemon used lately, over half a second.",
+	}, d.usage.Share)
+	d.Registry.MustRegister(d.refused, d.ended, d.calls, decisions, commits, owning, cores)
 	d.store = &reach{RowStore: d.Outside.Store, clock: d.Clock}
 	d.buildRelay()
 	d.owner = &mfowner.Owner{
