--- a/mfdaemon/daemon.go
+++ b/mfdaemon/daemon.go
@@ -33,6 +33,7 @@
 	"mothferry/mfsetting"
 	"mothferry/mfsnapshot"
 	"mothferry/mftraffic"
+	"mothferry/mfusage"
 )
 
 // Bounds that are not settings.
@@ -80,6 +81,7 @@
 	metrics    *mfmetric.Metrics
 	callers    *http.Server
 	operators  *http.Server
+	usage      *mfusage.Watch
 	stopping   atomic.Bool
 	// traffic counts the bytes on connections to the platform.
 	traffic mftraffic.Counter
@@ -199,7 +201,9 @@
 		RecordBytes: s.Limits.RecordBytes, NewToken: NewToken, Log: d.Logs.Part("ledger"),
 	}
 	d.ledger.Prepare()
+	d.usage = &mfusage.Watch{Clock: d.Clock, Used: mfusage.ProcessorTime, Log: d.Logs.Part("usage")}
 	d.metrics = mfmetric.New(mfmetric.Gauges{
+		Cores:       d.usage.Share,
 		Revision:    func() float64 { return float64(d.store.Current().Revision) },
 		InFlight:    func() float64 { return float64(d.entry.InFlight()) },
 		Peers:       func() float64 { return float64(len(d.mesh.Live(d.peerBound()))) },
@@ -276,6 +280,7 @@
 	state.Add(part{"config", d.follower.Run})
 	operators := d.supervisor("operators")
 	operators.Add(part{"operate", serve(d.operators, d.Operators, d.Settings.Listen.Operators)})
+	operators.Add(part{"usage", d.usage.Run})
 	root := d.supervisor("mothferry")
 	root.Add(state)
 	root.Add(operators)
--- a/mfmetric/metric.go
+++ b/mfmetric/metric.go
@@ -25,6 +25,8 @@
 	InFlight func() float64
 	Peers    func() float64
 	Holdings func() float64
+	// Cores is what the process used lately.
+	Cores func() float64
 	// PeerTraffic and PlatformTraffic count bytes on connections.
 	PeerTraffic     *mftraffic.Counter
 	PlatformTraffic *mftraffic.Counter
@@ -47,6 +49,7 @@
 	m.gauge("mothferry_requests_in_flight", "Requests in work at this daemon.", g.InFlight)
 	m.gauge("mothferry_peers_live", "Peers heard lately.", g.Peers)
 	m.gauge("mothferry_shards_held", "Shards that this daemon holds.", g.Holdings)
+	m.gauge("mothferry_cores_used", "Cores that this daemon used lately, over half a second.", g.Cores)
 	m.traffic("peer", g.PeerTraffic)
 	m.traffic("platform", g.PlatformTraffic)
 	return m
