Let the shard's lease follow how long a slow store takes

Cause: a commit takes two answers of the store, 1.2 s there; the others wait for 1.1 s at the most, take the shard, and their claims, of 0.6 s each, stand before the owner's commits in the store's part. The same looks that tell how slow the store is were cut off at 1.1 s; and looks that are further apart than 0.9 s counted as an outage, so that an owner that was really gone was replaced by chance only. Now the lease is 0.7 s and four times a look, up to 3.2 s, and what a look takes is added to the gap. Tests seen to fail before: TestSlowStoreKeepsItsOwner (claimable after 1.8 s), TestLostOwnerIsReplacedOnASlowStore (looks of 0.85 s). Ruled out: that it costs a takeover on a store that is well, where a look takes 7 ms and the lease is as it was.

--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -20,17 +20,19 @@
 	// long a shard that was given up stays without an owner.
 	pollEvery = 300 * time.Millisecond
 	// ownerLease is how long the head row must be seen unchanged until its
-	// owner counts as gone. An idle owner rewrites it every 350 ms; a store
-	// that is 100 times slower takes 400 ms for that.
+	// owner counts as gone, if it is not known how long a look takes. An idle owner
+	// rewrites it every 350 ms.
 	ownerLease = 1100 * time.Millisecond
 	// shortLease is the same on a store that is well, where an idle owner's commits take
 	// 10 ms. A look at the row tells how well it is: slowLooks times what the last one
-	// took is added, up to ownerLease.
-	shortLease = 700 * time.Millisecond
-	slowLooks  = 4
+	// took is added, up to longestLease. A commit takes two answers, and one may wait for another.
+	shortLease   = 700 * time.Millisecond
+	slowLooks    = 4
+	longestLease = 3200 * time.Millisecond
 	// pollGap is the longest time between two looks at the row that still
 	// shows that it did not change meanwhile for want of a store: an owner
-	// must not lose the shard because nobody could reach the store.
+	// must not lose the shard because nobody could reach the store. What the later look
+	// took is added: a slow store answers, only late.
 	pollGap = 900 * time.Millisecond
 	// firstClaim is how long the first claim of all waits, until every host has
 	// told its share.
@@ -65,13 +67,13 @@
 	if s.took <= 0 {
 		return ownerLease
 	}
-	return min(ownerLease, shortLease+slowLooks*s.took)
+	return min(longestLease, shortLease+slowLooks*s.took)
 }
 
 // observe takes a reading of the head row in.
 func (s sighting) observe(next sighting, now time.Time) sighting {
 	next.since, next.read, next.ownerSince = now, now, now
-	if s.read.IsZero() || now.Sub(s.read) > pollGap {
+	if s.read.IsZero() || now.Sub(s.read) > pollGap+next.took {
 		return next
 	}
 	if s.version == next.version {
--- a/mfowner/head_test.go
+++ b/mfowner/head_test.go
@@ -87,3 +87,32 @@
 	assert.Assert(t, !unknown.claimable("h-2", 800))
 	assert.Assert(t, callWithin < shortLease, "machines are changed only while no other host can own the shard")
 }
+
+// lookedAt returns what a host has seen that looked at an unchanged head for d, on a store whose answers take so long.
+func lookedAt(d, took time.Duration) sighting {
+	head := owned(800)
+	head.took = took
+	seen := sighting{}.observe(head, start)
+	for at := took + pollEvery; at <= d; at += took + pollEvery {
+		seen = seen.observe(head, start.Add(at))
+	}
+	return seen
+}
+
+// A sound owner must not lose its shard on a slow store, where a commit alone takes two answers.
+func TestSlowStoreKeepsItsOwner(t *testing.T) {
+	const took = 600 * time.Millisecond
+	for unchanged := time.Duration(0); unchanged <= 2*took+renewalOnSlowStore; unchanged += 50 * time.Millisecond {
+		assert.Assert(t, !lookedAt(unchanged, took).claimable("h-2", 800), "claimable after %v", unchanged)
+	}
+}
+
+// renewalOnSlowStore is how much longer than its answer a commit may be under way: one that waits for another.
+const renewalOnSlowStore = 1200 * time.Millisecond
+
+// An owner that is gone must be replaced on a slow store as well, although looks are far apart.
+func TestLostOwnerIsReplacedOnASlowStore(t *testing.T) {
+	for _, took := range []time.Duration{7 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 850 * time.Millisecond} {
+		assert.Assert(t, lookedAt(longestLease+took+pollEvery, took).claimable("h-2", 800), "looks of %v", took)
+	}
+}
