Keep to the rows that the log has where its numbers have gaps

Seen to fail before: TestGapInTheLogCostsNothing (row 3 is deleted and is not there). It also reads such a log rightly, run by run. mfjournal's tests pass.

--- a/mfjournal/journal.go
+++ b/mfjournal/journal.go
@@ -64,10 +64,8 @@
 	last uint64
 	// jobs holds where the newest progress is of each job that is not over.
 	jobs map[mothferry.JobID]*entry
-	// live holds for each segment the jobs whose newest progress is in it.
+	// live holds for each segment that is still stored the jobs whose newest progress is in it.
 	live map[uint64]map[mothferry.JobID]*entry
-	// oldest is the number of the oldest segment that is still stored.
-	oldest uint64
 	// sizes holds the bytes of each segment that is still stored.
 	sizes   map[uint64]mothferry.Bytes
 	reading Reading
@@ -146,9 +144,6 @@
 // add gives a segment its number and returns its row.
 func (j *Journal) add(s *segment) mothferry.Write {
 	j.last++
-	if j.oldest == 0 {
-		j.oldest = j.last
-	}
 	at := map[mothferry.JobID]*entry{}
 	for id, e := range s.entries {
 		e.segment = j.last
@@ -160,6 +155,10 @@
 	return mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(j.last), Value: value}
 }
 
+// stored returns the numbers of the segments that are still stored, the oldest first. An
+// earlier program may have left gaps between them.
+func (j *Journal) stored() []uint64 { return slices.Sorted(maps.Keys(j.live)) }
+
 // moveOld writes jobs of the oldest segments to their own rows if there are too many
 // segments, or too many bytes in them.
 func (j *Journal) moveOld(changed map[mothferry.JobID]mfjob.Progress) []mothferry.Write {
@@ -168,8 +167,11 @@
 	for _, bytes := range j.sizes {
 		size += bytes
 	}
-	tooLarge := func(n uint64) bool { return j.MaxLog > 0 && size > j.MaxLog && n <= j.last }
-	for n := j.oldest; n != 0 && (n+segments <= j.last || tooLarge(n)) && len(rows) < moved; n++ {
+	for _, n := range j.stored() {
+		tooLarge := j.MaxLog > 0 && size > j.MaxLog
+		if n+segments > j.last && !tooLarge || len(rows) >= moved {
+			break
+		}
 		size -= j.sizes[n]
 		for _, id := range slices.Sorted(maps.Keys(j.live[n])) {
 			if len(rows) >= moved {
@@ -190,11 +192,13 @@
 // deleteEmpty deletes the oldest segments while nothing in them is the newest of its job.
 func (j *Journal) deleteEmpty(most int) []mothferry.Write {
 	var rows []mothferry.Write
-	for j.oldest != 0 && j.oldest <= j.last && len(j.live[j.oldest]) == 0 && len(rows) < most {
-		delete(j.live, j.oldest)
-		delete(j.sizes, j.oldest)
-		rows = append(rows, mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(j.oldest), Delete: true})
-		j.oldest++
+	for _, n := range j.stored() {
+		if len(j.live[n]) > 0 || len(rows) >= most {
+			break
+		}
+		delete(j.live, n)
+		delete(j.sizes, n)
+		rows = append(rows, mothferry.Write{Table: mfrecord.TableLog, Part: mfrecord.PartShard, Key: mfrecord.LogKey(n), Delete: true})
 	}
 	return rows
 }
@@ -277,10 +281,10 @@
 		return &ErrNewerFormat{stored.Format}
 	}
 	j.last = max(j.last, number)
-	if j.oldest == 0 {
-		j.oldest = number
+	if j.reading.Oldest == 0 {
+		j.reading.Oldest = number
 	}
-	j.reading.Oldest, j.reading.Newest = j.oldest, number
+	j.reading.Newest = number
 	j.live[number] = map[mothferry.JobID]*entry{}
 	j.sizes[number] = mothferry.Bytes(len(r.Value))
 	for id, data := range stored.Jobs {
--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -234,3 +235,35 @@
 		}
 	})
 }
+
+// A successor of an earlier program, whose log began again far below what jobs' rows refer to, must not look through
+// the numbers between, or delete rows that were never there.
+func TestGapInTheLogCostsNothing(t *testing.T) {
+	const far = 3_000_000
+	stored := newStore()
+	put := func(table mothferry.TableID, key mothferry.Key, value string) {
+		stored.apply(t, []mothferry.Write{{Table: table, Part: mfrecord.PartShard, Key: key, Value: []byte(value)}})
+	}
+	before := progress(1, 2)
+	before.After = far
+	put(mfrecord.TableProgress, "lasts", string(mfjob.EncodeProgress(before)))
+	for number := range 2 {
+		value := fmt.Sprintf(`{"format":1,"jobs":{"lasts":%s}}`, mfjob.EncodeProgress(progress(number+2, 2)))
+		put(mfrecord.TableLog, mfrecord.LogKey(uint64(number+1)), value)
+	}
+	got, j := stored.read(t)
+	assert.DeepEqual(t, got["lasts"], progress(3, 2))
+	began := time.Now()
+	for round := range 20 {
+		rows := j.Write(map[mothferry.JobID]mfjob.Progress{"lasts": progress(round+4, 2)})
+		for _, w := range rows {
+			_, there := stored.tables[w.Table][w.Key]
+			assert.Assert(t, there || !w.Delete, "%s is deleted and is not there", w.Key)
+		}
+		stored.apply(t, rows)
+	}
+	assert.Assert(t, time.Since(began) < time.Second, "%v", time.Since(began))
+	assert.Equal(t, stored.logRows(), 1)
+	got, _ = stored.read(t)
+	assert.DeepEqual(t, got["lasts"], progress(23, 2))
+}
