Forget no job whose end is not stored

An owner that is cut off from the store goes on deciding. A job that it ended meanwhile, and could not store, counted as over for it; after KeepFinal it had the job's rows deleted, and when the store is back that delete races with the news that another host owns the shard, where the job may go on: its row in the inbox would be gone, and the job lost with the next takeover. Cause: what was handed in is dropped only once the end is stored, but forgetting went by the owner's own clock alone. Seen to fail before: TestUnstoredEndIsNotForgotten (one Forget, none allowed).

--- a/mfsched/over.go
+++ b/mfsched/over.go
@@ -84,7 +84,7 @@
 	var gone []mothferry.JobID
 	for len(s.ended) > 0 && len(gone) < maxForget {
 		j := s.ended[0]
-		if now.Sub(j.over) < s.Limits.KeepFinal || stillRuns(j) {
+		if !j.stored || now.Sub(j.over) < s.Limits.KeepFinal || stillRuns(j) {
 			break
 		}
 		s.ended = s.ended[1:]
--- a/mfsched/over_test.go
+++ b/mfsched/over_test.go
@@ -88,3 +88,21 @@
 	assert.Equal(t, len(forgotten), 1)
 	assert.DeepEqual(t, forgotten[0].Jobs, []mothferry.JobID{"j"})
 }
+
+// An owner that could not store a job's end must not have its rows deleted: under a successor the job goes on.
+func TestUnstoredEndIsNotForgotten(t *testing.T) {
+	s := newScript(t)
+	s.submit("j", 1)
+	s.step(mfsched.CancelFound{Job: "j"})
+	passed := func() {
+		for range 2 * limits().KeepFinal / time.Second {
+			s.now = s.now.Add(time.Second)
+			s.step(mfsched.Tick{})
+		}
+	}
+	passed()
+	assert.Equal(t, len(taken[mfsched.Forget](s)), 0)
+	s.store()
+	passed()
+	assert.DeepEqual(t, taken[mfsched.Forget](s), []mfsched.Forget{{Jobs: []mothferry.JobID{"j"}}})
+}
