Delete progress only in the owner's own commits

A successor reads the inbox and the progress of its shard at the same time, and runs what it finds in the one and not in the other. Owners deleted the progress of jobs that were over long ago by a call of its own, which checked nothing: one that had lost its shard meanwhile, or whose call came late, took the row away after its successor had read the inbox. A job whose row was still there, since the deleting of it some seconds after its end had failed, would have run once more. Cause: of all writes of progress this one alone was not under the head's version. Mended: the inbox is cleared by a call as before, and the progress goes with the next commit. A late delete of the inbox is safe, as the job's end is stored as long as its row is there.

--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"mothferry/mfjournal"
 	"mothferry/mfrecord"
 	"mothferry/mfsched"
 )
@@ -20,6 +21,7 @@
 	board := head
 	board.Read, board.Since = now, now
 	s.owner.board.Store(&board)
+	rows = append(rows, s.forgottenRows(mfjournal.MaxRows-len(rows))...)
 	rows = append(rows, s.waveRows()...)
 	s.account.rows += len(rows)
 	s.duties.releasing, s.duties.waiting = s.duties.waiting, nil
--- a/mfowner/order.go
+++ b/mfowner/order.go
@@ -88,18 +88,28 @@
 // forget deletes the rows of jobs that were over long ago: what was handed in
 // first, since progress alone is of no use to a successor.
 func (s *session) forget(c mfsched.Forget) {
-	var inbox, progress []mothferry.Write
+	var inbox []mothferry.Write
 	for _, id := range c.Jobs {
 		inbox = append(inbox,
 			mothferry.Write{Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.JobKey(id), Delete: true},
 			mothferry.Write{Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.CancelKey(id), Delete: true})
-		progress = append(progress, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Delete: true})
 	}
-	for _, writes := range [][]mothferry.Write{inbox, progress} {
-		if _, err := s.owner.Store.Commit(s.ctx, mothferry.Txn{Writes: writes, Across: true}); err != nil {
-			s.owner.Log.WithError(err).WithField("jobs", len(c.Jobs)).Warn("jobs that were over long ago are left in the store")
-			return
-		}
+	if _, err := s.owner.Store.Commit(s.ctx, mothferry.Txn{Writes: inbox, Across: true}); err != nil {
+		s.owner.Log.WithError(err).WithField("jobs", len(c.Jobs)).Warn("jobs that were over long ago are left in the store")
+		return
 	}
+	s.act(func() { s.forgotten = append(s.forgotten, c.Jobs...) })
 	s.owner.Log.WithField("jobs", len(c.Jobs)).Info("jobs that were over long ago are deleted")
 }
+
+// forgottenRows deletes the progress of forgotten jobs, up to a number of rows. This is part of
+// the owner's commits, as a deposed owner's delete could come after its successor has read the inbox.
+func (s *session) forgottenRows(most int) []mothferry.Write {
+	var rows []mothferry.Write
+	number := min(max(most, 0), len(s.forgotten))
+	for _, id := range s.forgotten[:number] {
+		rows = append(rows, mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Delete: true})
+	}
+	s.forgotten = s.forgotten[number:]
+	return rows
+}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -57,6 +57,8 @@
 	// ownership.
 	journal  *mfjournal.Journal
 	progress map[mothferry.JobID]*mfjob.Progress
+	// forgotten holds jobs whose progress is still to be deleted.
+	forgotten []mothferry.JobID
 	// restored is closed once progress is read, loaded once all stored jobs have been
 	// passed on.
 	restored chan struct{}
--- a/mfowner/successor_test.go
+++ b/mfowner/successor_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,3 +174,42 @@
 	assert.Equal(t, len(workers.twice), 0, "%v", workers.twice)
 	assert.Equal(t, workers.stops, 0, "runs were stopped")
 }
+
+// A deposed owner's late delete must not take the progress of a job that is over from its successor, which may have
+// read the job's row in the inbox before and would run it again.
+func TestFormerOwnerDeletesNoProgress(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	workers := &loadWorkers{workers: map[mothferry.WorkerID]*loadWorker{}, takes: 50 * time.Millisecond}
+	own := func(ctx context.Context, name mothferry.DaemonID, keep time.Duration) (wait func()) {
+		o, _ := logged(name, rows)
+		o.Workers, o.Listing, o.Machines, o.Limits.KeepFinal = workers, loadListing(1), loadMachines(1), keep
+		var running sync.WaitGroup
+		running.Go(func() { _ = o.Run(ctx) })
+		eventually(t, "the shard has an owner", o.Owning)
+		return running.Wait
+	}
+	first, depose := context.WithCancel(context.Background())
+	deposed := own(first, "h-1", 300*time.Millisecond)
+	step := mfjob.Step{Count: 1, Need: mothferry.Resources{Cores: 1000}}
+	submit(t, rows, "earlier", step)
+	eventually(t, "the job has begun", func() bool { return len(storedIn(t, rows, mfrecord.TableProgress)) == 1 })
+	eventually(t, "the job is forgotten", func() bool { return len(storedIn(t, rows, mfrecord.TableProgress)) == 0 })
+	var late atomic.Bool
+	rows.SetBefore(func(txn mothferry.Txn) mfstandin.CommitFault {
+		if !slices.ContainsFunc(txn.Writes, func(w mothferry.Write) bool { return w.Delete && w.Table == mfrecord.TableProgress }) {
+			return mfstandin.CommitWell
+		}
+		late.Store(true)
+		return mfstandin.CommitLate
+	})
+	submit(t, rows, "short", step)
+	eventually(t, "the job is forgotten, late", late.Load)
+	depose()
+	deposed()
+	second, end := context.WithCancel(context.Background())
+	ended := own(second, "h-2", time.Hour)
+	rows.Settle()
+	assert.Equal(t, len(storedIn(t, rows, mfrecord.TableProgress)), 1)
+	end()
+	ended()
+}
