Take no task for missing by a look that may not list all ends

A worker returns 500 ends at a time. A look that brought so many counted as all that there is: a task whose end was further down, and that is no longer running, was taken for missing. On a successor's first look it was free at once and started again though it may be done; otherwise a stop came first, and then the same. Cause: what is read in part was taken for the whole. Mended: such a look counts for the ends that it lists, and the next one, after these are noted, for the rest. Seen to fail before: TestEndBeyondThoseListedIsWaitedFor (one start, none allowed). mfsched, mfemulate (but for the known red), platform and mffleet pass.

--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -21,6 +21,8 @@
 	KeepFinal time.Duration
 	// AtWorkWithin is how long a lasting task may be away before it counts as missing.
 	AtWorkWithin time.Duration
+	// EndsListed is how many ends a look lists at the most; zero for no bound.
+	EndsListed int
 }
 
 // Leases of an owner, unless a deployment needs others.
@@ -34,12 +36,16 @@
 	DefaultExtendFor = 4 * time.Second
 )
 
+// usualEndsListed is how many ends the workers of today's deployments list at a time.
+const usualEndsListed = 500
+
 // UsualLimits are those of the users' deployments of today, for experiments
 // and tests.
 func UsualLimits() Limits {
 	return Limits{
 		Hold: DefaultHold, HoldMax: 6 * time.Second, ExtendFor: DefaultExtendFor,
 		StopWithin: 900 * time.Millisecond, KeepFinal: 150 * time.Second, AtWorkWithin: 4500 * time.Millisecond,
+		EndsListed: usualEndsListed,
 	}
 }
 
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -43,6 +43,11 @@
 		}
 	}
 	w.strayEnded(e.Report.Running, e.Sent)
+	if s.Limits.EndsListed > 0 && len(e.Report.Ended) >= s.Limits.EndsListed {
+		// There may be more ends, of tasks that would be taken for missing.
+		w.nextLook = now
+		return
+	}
 	for _, t := range w.pick(func(t *task) bool { return !listed[t.name] }) {
 		s.missing(w, t, e.Sent, now)
 	}
--- a/mfsched/takeover_test.go
+++ b/mfsched/takeover_test.go
@@ -123,3 +123,34 @@
 	assert.Assert(t, known)
 	assert.Equal(t, pending[queue], 1)
 }
+
+// A task whose end is beyond those that one look lists must not start again, as it may be done.
+func TestEndBeyondThoseListedIsWaitedFor(t *testing.T) {
+	s := newScript(t)
+	s.state.Limits.EndsListed = 2
+	inherited := mfjob.TaskProgress{Run: 1, Worker: "w-1"}
+	s.step(mfsched.JobFound{Job: "j", Submission: submission(s.now, 3), Progress: &mfjob.Progress{
+		State:       mfjob.StateRunning,
+		Occurrences: [][]mfjob.StepProgress{{{Tasks: []mfjob.TaskProgress{inherited, inherited, inherited}}}},
+	}})
+	s.list("w-1")
+	s.list("w-2")
+	s.pass(10 * time.Millisecond)
+	var ends []mothferry.EndedTask
+	for i := range 3 {
+		ends = append(ends, mothferry.EndedTask{Number: mothferry.EndNumber(i + 1), Task: mothferry.TaskName{Job: "j", Index: i}, Run: 1, Cause: mothferry.EndDone})
+	}
+	s.look("w-1", mothferry.LookReport{Ended: ends[:2]})
+	answerIdle(s, "w-2")
+	s.pass(100 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+	looks := taken[mfsched.Look](s)
+	assert.Assert(t, len(looks) > 0)
+	assert.Equal(t, looks[0].At.Worker, mothferry.WorkerID("w-1"))
+	assert.Equal(t, looks[0].Order.Noted, mothferry.EndNumber(2))
+	s.step(mfsched.LookAnswered{Worker: "w-1", Sent: s.now, Report: mothferry.LookReport{Clock: mothferry.WorkerClock(time.Hour), Ended: ends[2:]}})
+	s.pass(100 * time.Millisecond)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+	pending, _ := s.state.Pending()
+	assert.Equal(t, pending[queue], 0)
+}
