Store all that is done in a wave, not what its list of machines names

A successor reads a wave's row before it knows which machines the operator asks for. If it commits before that, or the operator has withdrawn or shortened the wave, it wrote the row anew with what of those machines is done: none. The next owner would empty them once more, though the platform takes a second upkeep of one wave for done already. Cause: what is stored was made from a list that can be missing, instead of from what was done. Seen to fail before: TestWaveNotAskedForKeepsWhatIsDone (0 done, 2 expected). mfowner's takeover tests, mfduty and mfcommand pass.

--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -130,12 +132,7 @@
 func (s *session) waveRows() []mothferry.Write {
 	var rows []mothferry.Write
 	for id, w := range s.duties.state.Waves {
-		stored := storedWave{Format: waveFormat, Begun: w.Begun}
-		for _, m := range w.Machines {
-			if w.Done[m] {
-				stored.Done = append(stored.Done, m)
-			}
-		}
+		stored := storedWave{Format: waveFormat, Begun: w.Begun, Done: slices.Sorted(maps.Keys(w.Done))}
 		value, err := json.Marshal(stored)
 		if err != nil {
 			s.owner.Log.WithError(err).WithField("wave", id).Error("wave can't be stored")
--- a/mfowner/duty_test.go
+++ b/mfowner/duty_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfsched"
 )
 
 // Symptom: on hosts with links of 2 Mbit/s commits took 0.3 s instead of 0.02, and
@@ -17,3 +20,27 @@
 	assert.Equal(t, listGap(104*time.Millisecond), 416*time.Millisecond)
 	assert.Equal(t, listGap(2*time.Second), 2500*time.Millisecond, "a list that is slow for other reasons is still asked for")
 }
+
+// A successor that was not told yet which machines a wave has must not store that none is done: the next one would empty
+// them once more.
+func TestWaveNotAskedForKeepsWhatIsDone(t *testing.T) {
+	former := &session{duties: newDuties()}
+	done := []mothferry.MachineID{"m-2", "m-1"}
+	former.duties.state.Ask(mfsched.Wave{Wave: 7, Machines: done}, time.Unix(1, 0))
+	former.duties.state.Restore(7, time.Unix(1, 0), done)
+	read := func(rows []mothferry.Write) (out []mothferry.Row) {
+		for _, w := range rows {
+			out = append(out, mothferry.Row{Key: w.Key, Value: w.Value})
+		}
+		return out
+	}
+	stored := read(former.waveRows())
+	assert.Equal(t, len(stored), 1)
+	successor := &session{duties: newDuties()}
+	assert.NilError(t, successor.restoreWaves(stored))
+	for _, row := range read(successor.waveRows()) {
+		_, w, err := decodeWaveRow(row)
+		assert.NilError(t, err)
+		assert.Equal(t, len(w.Done), 2)
+	}
+}
