Store that a worker which lapsed has been heard of again

Where a lease lapses, the task counts one end of a worker that may have been a crash; once the worker answers, that is taken back. Cause: taken back in memory alone. What is stored kept the count until the job changed for another reason, so that a successor read older knowledge than its predecessor had; such counts add up over owners, and five of them give a task up whose workers never crashed. Seen to fail before: TestWorkerThatAnswersAgainIsStoredAsAlive (Unseen 1 stored, 0 expected). mfsched passes, and mfemulate but for the known red.

--- a/mfsched/crash.go
+++ b/mfsched/crash.go
@@ -162,9 +162,13 @@
 }
 
 // livesOn takes in that a worker has answered: it has not crashed under what lapsed there.
-func (w *worker) livesOn() {
+func (s *State) livesOn(w *worker) {
 	for _, r := range w.lapsed {
 		r.ended(LifePlanned)
+		// A job that is over may be forgotten already: its row must not be written anew.
+		if !r.task.job.state.Final() {
+			s.touch(r.task.job)
+		}
 	}
 	w.lapsed = nil
 }
--- a/mfsched/crash_test.go
+++ b/mfsched/crash_test.go
@@ -241,6 +241,37 @@
 	}
 }
 
+// A successor must not read that a worker may have crashed under a task which its owner has since heard
+// of: such counts add up over owners until the job is given up.
+func TestWorkerThatAnswersAgainIsStoredAsAlive(t *testing.T) {
+	s, _ := runningOn(t, "w")
+	s.step(mfsched.WorkersLeaving{Workers: map[mothferry.WorkerID]bool{"w": true}})
+	var stored mfjob.Crashes
+	pass := func(result func(l mfsched.Look) mfsched.Event) {
+		for range 700 {
+			s.now = s.now.Add(10 * time.Millisecond)
+			s.step(mfsched.Tick{})
+			for _, c := range taken[mfsched.Commit](s) {
+				if p, in := c.Progress["j"]; in {
+					stored = p.Occurrences[0][0].Tasks[0].Crashes
+				}
+				s.step(mfsched.CommitDone{Number: c.Number})
+			}
+			for _, l := range taken[mfsched.Look](s) {
+				s.step(result(l))
+			}
+		}
+	}
+	pass(func(l mfsched.Look) mfsched.Event {
+		return mfsched.LookFailed{Worker: "w", Number: l.Number, Sent: s.now, Result: mfsched.ResultUnknown}
+	})
+	assert.Equal(t, stored, mfjob.Crashes{Unseen: 1})
+	pass(func(l mfsched.Look) mfsched.Event {
+		return mfsched.LookAnswered{Worker: "w", Number: l.Number, Sent: s.now, Report: mothferry.LookReport{Clock: mothferry.WorkerClock(2 * time.Hour)}}
+	})
+	assert.Equal(t, stored, mfjob.Crashes{})
+}
+
 // Half a lasting job's tasks were stopped at work, two within 0.4 s where one may be away. Four
 // workers had crashed beside one of its tasks, under tasks of other jobs: it had run on each
 // for longer than what ends its workers does, and a lasting task is there whenever a worker
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -24,7 +24,7 @@
 		s.emit(Decision{Message: "worker answers", Worker: e.Worker, Fields: map[string]any{"running": len(e.Report.Running), "ended": len(e.Report.Ended), "tasks": len(w.tasks)}})
 	}
 	w.failing = false
-	w.livesOn()
+	s.livesOn(w)
 	if !w.sealed {
 		// An earlier owner may have asked for any lease that the worker gives.
 		w.until = max(w.until, e.Report.Clock+mothferry.WorkerClock(s.Limits.HoldMax))
