Give large jobs rows of the log that the store takes

Two jobs of 1,000 tasks with checkpoints that changed in one commit made a row of 80,147 bytes, three without checkpoints one of about as much as the 65,536 that the platform's page allows. An owner sends a commit until its outcome is known, so that it would store nothing any more, and its successors neither. Cause: a row was closed once it was full, not before an entry that it has no room for. By reading; not seen in a run, and not tried on the platform's store. Seen to fail before: TestLargeJobsGetRowsOfTheirOwn (80,147 bytes). mfjournal's tests and the takeover tests of mfowner pass. Open: a commit takes up to 400 jobs whatever their size, and a transaction 1 MB.

--- a/mfjournal/journal.go
+++ b/mfjournal/journal.go
@@ -31,7 +31,7 @@
 	MaxRows = 90
 	// MaxOwn is how many jobs with rows of their own one call of Write takes.
 	MaxOwn = 60
-	// maxSegment bounds the value of a log's row, in bytes; the store takes 65,536.
+	// maxSegment bounds the value of a log's row with several jobs, in bytes; the store takes 65,536.
 	maxSegment = 48 << 10
 	// segments is how many rows the log may have before what is in the oldest ones is
 	// written to the jobs' own rows. A successor reads them all; with 35 commits a
@@ -121,11 +121,12 @@
 			rows = append(rows, ownRow(id, p, j.last))
 			continue
 		}
-		if s.full() {
+		text := mfjob.EncodeProgress(p)
+		if !s.hasRoom(text) {
 			rows = append(rows, j.add(s))
 			s = &segment{}
 		}
-		s.take(id, e)
+		s.take(id, e, text)
 	}
 	if len(s.entries) > 0 {
 		rows = append(rows, j.add(s))
@@ -215,9 +216,12 @@
 	text    []byte
 }
 
-func (s *segment) full() bool { return len(s.text) >= maxSegment }
+// hasRoom reports whether one more entry fits; the first one always does.
+func (s *segment) hasRoom(text []byte) bool {
+	return len(s.entries) == 0 || len(s.text)+len(text) <= maxSegment
+}
 
-func (s *segment) take(id mothferry.JobID, e *entry) {
+func (s *segment) take(id mothferry.JobID, e *entry, text []byte) {
 	if s.entries == nil {
 		s.entries = map[mothferry.JobID]*entry{}
 		s.text = append([]byte(`{"format":`), strconv.Itoa(format)...)
@@ -228,7 +232,7 @@
 	s.entries[id] = e
 	s.text = mfjob.AppendText(s.text, string(id))
 	s.text = append(s.text, ':')
-	s.text = append(s.text, mfjob.EncodeProgress(e.progress)...)
+	s.text = append(s.text, text...)
 }
 
 func (s *segment) value() []byte { return append(s.text, `}}`...) }
--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -236,6 +236,27 @@
 	})
 }
 
+// Two large jobs that change in one commit must not make a row that the store refuses: the owner could store nothing
+// any more, and its successors neither.
+func TestLargeJobsGetRowsOfTheirOwn(t *testing.T) {
+	large := progress(2, mfjob.MaxTasks)
+	tasks := large.Occurrences[0][0].Tasks
+	for i := range tasks {
+		tasks[i].Worker, tasks[i].Checkpoint = "i-00000000", "0123456789abcdef"
+	}
+	all := map[mothferry.JobID]mfjob.Progress{}
+	for i := range 5 {
+		all[mothferry.JobID(fmt.Sprintf("j-%03d", i))] = large
+	}
+	j := &mfjournal.Journal{}
+	stored := newStore()
+	for range 3 {
+		stored.apply(t, j.Write(all))
+	}
+	got, _ := stored.read(t)
+	assert.DeepEqual(t, got, all)
+}
+
 // A successor of an earlier program, whose log began again far below what jobs' rows refer to, must not look through
 // the numbers between, or delete rows that were never there.
 func TestGapInTheLogCostsNothing(t *testing.T) {
