Tell a successor that what is asked for anew is this owner's call

The head tells of each machine that was asked for of late who asked, so that a host that takes the shard over need not wait for its own earlier calls. A machine that another host had asked for, and that this owner asks for as soon as it may, kept the other's name until the commit after the call: in the commit before the call its age was set anew, so that the entry did not expire, but not its name. If this owner is killed in that third of a second and the other host takes over, it asks for the machine at once: two hosts take turns at it. Cause: name and age of one entry were renewed at different moments. Mended: both are set in the commit that lets the call go out. Seen to fail before: TestMachineAskedForAnewIsTheNewOwners (not blocked). mfowner's handover tests pass.

--- a/mfowner/handover.go
+++ b/mfowner/handover.go
@@ -88,6 +88,7 @@
 func (s *session) calledAgo(now time.Time) map[mothferry.MachineID]time.Duration {
 	for _, c := range s.duties.waiting {
 		s.duties.called[c.Machine] = now.Add(callWithin)
+		delete(s.duties.calledBy, c.Machine)
 	}
 	ago := map[mothferry.MachineID]time.Duration{}
 	for m, at := range s.duties.called {
@@ -111,7 +112,6 @@
 			continue
 		}
 		s.duties.called[c.Machine] = now
-		delete(s.duties.calledBy, c.Machine)
 		go s.callMachine(c)
 	}
 	s.duties.releasing = nil
--- a/mfowner/handover_test.go
+++ b/mfowner/handover_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"mothferry"
+	"mothferry/mfduty"
 	"mothferry/mfrecord"
 )
 
@@ -50,3 +51,20 @@
 	f.head = head
 	assert.Equal(t, len(f.blocked(last.Add(time.Second), o.handOver())), 2)
 }
+
+// Two hosts must not ask for one machine shortly after one another: the one that had asked before this owner must not
+// take what this owner is about to ask for as its own.
+func TestMachineAskedForAnewIsTheNewOwners(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	o := &Owner{Daemon: "h-2", MachineHandOver: 3 * time.Second}
+	s := &session{owner: o, duties: newDuties(), former: formerCalls{
+		lastCommit: now.Add(-5 * time.Second), own: "h-2",
+		head: mfrecord.Head{Holder: "h-1"}, ago: map[mothferry.MachineID]time.Duration{"m": 0},
+	}}
+	s.inherit()
+	assert.Equal(t, len(s.former.blocked(now, o.handOver())), 0)
+	s.duties.waiting = []mfduty.Call{{Machine: "m"}}
+	head := mfrecord.Head{Holder: "h-2", Called: s.calledAgo(now), CalledBy: s.duties.calledBy}
+	successor := formerCalls{lastCommit: now, own: "h-1", head: head, ago: head.Called}
+	assert.DeepEqual(t, successor.blocked(now.Add(time.Second), o.handOver()), map[mothferry.MachineID]bool{"m": true})
+}
