Know a job until its rows are deleted

An owner forgot a job as it sent the call that deletes the job's rows. Where the deletion some seconds after the job's end had failed, and this one fails too, the row stays in the inbox; as soon as the store drops its history the inbox is read anew, and the owner finds a job there that it does not know and, as the job ended under it, has no progress of: it runs the job once more. Cause: memory was cleared at another moment than the store. Mended: a job stays known until its rows are deleted, and is tried again after KeepFinal if they could not be. Seen to fail before: TestJobIsKnownUntilItsRowsAreDeleted (3 orders to start, none allowed). mfsched and the takeover tests of mfowner pass.

--- a/mfowner/order.go
+++ b/mfowner/order.go
@@ -96,9 +96,13 @@
 	}
 	if _, err := s.owner.Store.Commit(s.ctx, mothferry.Txn{Writes: inbox, Across: true}); err != nil {
 		s.owner.Log.WithError(err).WithField("jobs", len(c.Jobs)).Warn("jobs that were over long ago are left in the store")
+		s.post(mfsched.JobsForgotten{Jobs: c.Jobs})
 		return
 	}
-	s.act(func() { s.forgotten = append(s.forgotten, c.Jobs...) })
+	s.act(func() {
+		s.forgotten = append(s.forgotten, c.Jobs...)
+		s.step(mfsched.JobsForgotten{Jobs: c.Jobs, Deleted: true})
+	})
 	s.owner.Log.WithField("jobs", len(c.Jobs)).Info("jobs that were over long ago are deleted")
 }
 
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -49,6 +49,12 @@
 	State mfjob.State
 }
 
+// JobsForgotten says whether the rows of jobs that are to be forgotten are deleted.
+type JobsForgotten struct {
+	Jobs    []mothferry.JobID
+	Deleted bool
+}
+
 // JobsLoaded says that all jobs that were stored have been passed on.
 type JobsLoaded struct{}
 
@@ -188,6 +194,7 @@
 func (ConfigChanged) event()  {}
 func (JobFound) event()       {}
 func (JobOver) event()        {}
+func (JobsForgotten) event()  {}
 func (JobsLoaded) event()     {}
 func (CancelFound) event()    {}
 func (WorkerListed) event()   {}
@@ -248,7 +255,7 @@
 	Workers []mothferry.WorkerID
 }
 
-// Forget asks to delete the rows of jobs that were over long enough ago.
+// Forget asks to delete the rows of jobs that were over long enough ago. JobsForgotten answers it.
 type Forget struct {
 	Jobs []mothferry.JobID
 }
--- a/mfsched/over.go
+++ b/mfsched/over.go
@@ -79,7 +79,7 @@
 	s.emit(Drop{Jobs: gone})
 }
 
-// forget drops jobs whose final state need not be told any more.
+// forget asks to delete the rows of jobs whose final state need not be told any more.
 func (s *State) forget(now time.Time) {
 	var gone []mothferry.JobID
 	for len(s.ended) > 0 && len(gone) < maxForget {
@@ -88,7 +88,6 @@
 			break
 		}
 		s.ended = s.ended[1:]
-		delete(s.jobs, j.id)
 		s.undirty(j)
 		gone = append(gone, j.id)
 	}
@@ -97,6 +96,23 @@
 	}
 }
 
+// forgotten drops jobs whose rows are deleted. The others stay known, as they would else be found
+// anew when the inbox is read again.
+func (s *State) forgotten(e JobsForgotten, now time.Time) {
+	for _, id := range e.Jobs {
+		j, known := s.jobs[id]
+		switch {
+		case !known:
+		case e.Deleted:
+			delete(s.jobs, id)
+			s.undirty(j)
+		default:
+			j.over = now
+			s.ended = append(s.ended, j)
+		}
+	}
+}
+
 func stillRuns(j *job) bool {
 	for t := range j.tasks() {
 		if t.assigned() {
--- a/mfsched/over_test.go
+++ b/mfsched/over_test.go
@@ -106,3 +106,29 @@
 	passed()
 	assert.DeepEqual(t, taken[mfsched.Forget](s), []mfsched.Forget{{Jobs: []mothferry.JobID{"j"}}})
 }
+
+// A job whose rows could not be deleted must stay known: read anew with the inbox, it would run once more.
+func TestJobIsKnownUntilItsRowsAreDeleted(t *testing.T) {
+	s := newScript(t)
+	s.list("w")
+	s.pass(10 * time.Millisecond)
+	s.look("w", mothferry.LookReport{})
+	s.submit("j", 1)
+	s.finish("w", 1)
+	s.pass(limits().KeepFinal + time.Second)
+	assert.Equal(t, len(taken[mfsched.Forget](s)), 1)
+	taken[mfsched.Start](s)
+	answerIdle(s, "w")
+	s.submit("j", 1)
+	s.pass(time.Second)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+	s.step(mfsched.JobsForgotten{Jobs: []mothferry.JobID{"j"}})
+	s.submit("j", 1)
+	s.pass(time.Second)
+	assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+	s.pass(limits().KeepFinal)
+	assert.Equal(t, len(taken[mfsched.Forget](s)), 1)
+	s.step(mfsched.JobsForgotten{Jobs: []mothferry.JobID{"j"}, Deleted: true})
+	s.pass(2 * limits().KeepFinal)
+	assert.Equal(t, len(taken[mfsched.Forget](s)), 0)
+}
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -236,6 +236,8 @@
 		s.found(v, now)
 	case JobOver:
 		s.jobOver(v, now)
+	case JobsForgotten:
+		s.forgotten(v, now)
 	case JobsLoaded:
 		s.loaded = true
 	case CancelFound:
