Bound a commit by its tasks as well as by its jobs

A commit took up to 400 jobs whatever their size. When a worker ends, or a burst of large jobs comes, 60 jobs of 1,000 tasks with checkpoints make 1,803,240 bytes, 2.4 MB as they are sent, and the platform's page allows 1 MB. An owner sends a commit until its outcome is known: it would store nothing any more, lose its shard, and its successors the same.

--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -72,11 +72,14 @@
 	renewEvery = 350 * time.Millisecond
 	// choreGap is how often what depends on time alone is looked through.
 	choreGap = 50 * time.Millisecond
-	// maxCommitJobs bounds the jobs of one commit: some 0.5 kB each of the 1 MB that a
-	// transaction takes, and short beside the time that it takes to be sent.
+	// maxCommitJobs bounds the jobs of one commit: some 0.5 kB each, and short beside the
+	// time that it takes to be sent.
 	maxCommitJobs = 400
 	// maxCommitOwn bounds those of them that need a row of their own.
 	maxCommitOwn = mfjournal.MaxOwn
+	// maxCommitTasks bounds their tasks: some 50 bytes each of the 1 MB that a transaction takes, of
+	// which the journal needs two thirds at the most to move other large jobs.
+	maxCommitTasks = 5000
 	// maxForget bounds the jobs forgotten at once: each has two rows in the
 	// inbox, and a transaction takes 100 entries.
 	maxForget = 45
--- a/mfsched/room_test.go
+++ b/mfsched/room_test.go
@@ -1,12 +1,14 @@
 package mfsched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"mothferry"
+	"mothferry/mfjob"
 	"mothferry/mfsched"
 )
 
@@ -81,3 +83,37 @@
 	s.pass(100 * time.Millisecond)
 	assert.Equal(t, len(taken[mfsched.Start](s)), 1)
 }
+
+// An owner must not put more into one commit than the store takes, as it would store nothing any more: a worker ends on
+// which large jobs run.
+func TestLargeJobsTakeSeveralCommits(t *testing.T) {
+	// A third of what a transaction takes, as the journal may move other large jobs in it.
+	const most, base64 = 1 << 20 / 3, 4.0 / 3
+	s := newScript(t)
+	for number := range 60 {
+		at := mfjob.StepProgress{}
+		for range mfjob.MaxTasks {
+			at.Tasks = append(at.Tasks, mfjob.TaskProgress{Run: 1, Worker: "i-00000000", Checkpoint: "0123456789abcdef"})
+		}
+		s.step(mfsched.JobFound{
+			Job: jobID(fmt.Sprintf("%016x", number)), Submission: submission(s.now, mfjob.MaxTasks),
+			Progress: &mfjob.Progress{State: mfjob.StateRunning, Occurrences: [][]mfjob.StepProgress{{at}}},
+		})
+	}
+	s.step(mfsched.WorkerOver{Worker: "i-00000000", Cause: mfsched.LifePlanned})
+	stored := map[mothferry.JobID]bool{}
+	for range 1000 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.step(mfsched.Tick{})
+		for _, c := range taken[mfsched.Commit](s) {
+			size := 0
+			for id, p := range c.Progress {
+				size += len(mfjob.EncodeProgress(p))
+				stored[id] = true
+			}
+			assert.Assert(t, float64(size)*base64 < most, "%d bytes of %d jobs", size, len(c.Progress))
+			s.step(mfsched.CommitDone{Number: c.Number})
+		}
+	}
+	assert.Equal(t, len(stored), 60)
+}
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -71,18 +71,13 @@
 	}
 	s.number++
 	c := Commit{Number: s.number, Progress: map[mothferry.JobID]mfjob.Progress{}}
-	own := 0
+	var load commitLoad
 	left := s.dirty[:0]
 	for _, j := range s.dirty {
-		// What callers are told has a row of its own: that a job has begun, or is over.
-		ownRow := !j.begunStored || j.state.Final()
-		if len(c.Progress) >= maxCommitJobs || ownRow && own >= maxCommitOwn {
+		if !load.take(j) {
 			left = append(left, j)
 			continue
 		}
-		if ownRow {
-			own++
-		}
 		j.dirty, j.begunStored = false, true
 		c.Progress[j.id] = progressOf(j)
 		if j.state.Final() && !j.stored {
@@ -104,6 +99,39 @@
 	s.emit(c)
 }
 
+// commitLoad counts what a commit holds.
+type commitLoad struct{ jobs, own, tasks int }
+
+// take counts a job, unless the commit has no room for it; the first one always has.
+func (l *commitLoad) take(j *job) bool {
+	own, tasks := 0, j.storedTasks()
+	if !j.begunStored || j.state.Final() {
+		// What callers are told has a row of its own: that a job has begun, or is over.
+		own = 1
+	}
+	if l.jobs >= maxCommitJobs || l.own+own > maxCommitOwn || l.jobs > 0 && l.tasks+tasks > maxCommitTasks {
+		return false
+	}
+	l.jobs, l.own, l.tasks = l.jobs+1, l.own+own, l.tasks+tasks
+	return true
+}
+
+// storedTasks is of how many tasks a job's progress tells.
+func (j *job) storedTasks() int {
+	if j.state.Final() {
+		return 0
+	}
+	count := 0
+	for _, o := range j.occurrences {
+		for _, p := range o.steps {
+			if p.open > 0 {
+				count += len(p.tasks)
+			}
+		}
+	}
+	return count
+}
+
 // splitPlanned parts the planned runs into those whose job is in the commit
 // and those that wait for a later one.
 func (s *State) splitPlanned(c Commit) (now, later []plannedRun) {
