Take no machine for gone that one list lacks

A list of machines is read page by page, and may be short or empty at a moment. A wave of which a list had no machine that was still to be done counted as completed for good, and a machine that was being asked for, and was not in one list, no longer counted as down, so that another one began. Mended: a machine is gone once no list has shown it for a second. Seen to fail before: TestMachineThatOneListLacksIsNotGone (completed with nothing done). mfduty passes.

--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -102,12 +102,14 @@
 type State struct {
 	Waves   map[mothferry.WaveID]*Wave
 	errands map[mothferry.MachineID]*errand
-	sizes   mfpool.Sizes
+	// absent holds since when no list has shown a machine that is to be acted on.
+	absent map[mothferry.MachineID]time.Time
+	sizes  mfpool.Sizes
 }
 
 // New returns a state with nothing under way.
 func New() *State {
-	return &State{Waves: map[mothferry.WaveID]*Wave{}, errands: map[mothferry.MachineID]*errand{}}
+	return &State{Waves: map[mothferry.WaveID]*Wave{}, errands: map[mothferry.MachineID]*errand{}, absent: map[mothferry.MachineID]time.Time{}}
 }
 
 // Ask takes in a wave that the operator asks for. One that is known keeps what
@@ -139,6 +141,7 @@
 	for _, m := range f.Machines {
 		listed[m.Machine] = m
 	}
+	s.noteAbsent(listed, now)
 	s.settle(listed, now)
 	room := s.planMoves(f, now)
 	for _, id := range s.waves() {
@@ -147,6 +150,34 @@
 	return s.due(f, listed, now)
 }
 
+// noteAbsent keeps since when machines are not listed.
+func (s *State) noteAbsent(listed map[mothferry.MachineID]mothferry.Machine, now time.Time) {
+	note := func(id mothferry.MachineID) {
+		_, there := listed[id]
+		_, known := s.absent[id]
+		switch {
+		case there:
+			delete(s.absent, id)
+		case !known:
+			s.absent[id] = now
+		}
+	}
+	for id := range s.errands {
+		note(id)
+	}
+	for _, w := range s.Waves {
+		for _, id := range w.Machines {
+			note(id)
+		}
+	}
+}
+
+// gone reports whether a machine is not listed any more: a single list may lack it.
+func (s *State) gone(id mothferry.MachineID, now time.Time) bool {
+	since, absent := s.absent[id]
+	return absent && now.Sub(since) >= absentFor
+}
+
 // settle ends the errands of machines that are back, or gone.
 func (s *State) settle(listed map[mothferry.MachineID]mothferry.Machine, now time.Time) {
 	for id, e := range s.errands {
@@ -154,7 +185,9 @@
 		same := there && m.State == mothferry.MachineUp && m.Worker == e.worker
 		switch {
 		case !there:
-			delete(s.errands, id)
+			if s.gone(id, now) {
+				delete(s.errands, id)
+			}
 		case e.phase == phaseAway && m.State == mothferry.MachineUp && (!same || now.Sub(e.since) > listedWithin):
 			delete(s.errands, id)
 		case e.phase == phaseEmptying && !same:
@@ -190,8 +223,8 @@
 	var left, slow []mothferry.Machine
 	busy, open, slowBusy := 0, 0, 0
 	for _, id := range w.Machines {
-		m, there := listed[id]
-		if !there {
+		m := listed[id]
+		if s.gone(id, now) {
 			continue
 		}
 		e, underWay := s.errands[id]
@@ -280,8 +313,9 @@
 func (s *State) due(f Fleet, listed map[mothferry.MachineID]mothferry.Machine, now time.Time) []Call {
 	var calls []Call
 	for _, e := range s.errands {
+		m, there := listed[e.call.Machine]
 		switch {
-		case e.phase == phaseEmptying && s.mayCall(e, f, listed[e.call.Machine], now),
+		case e.phase == phaseEmptying && there && s.mayCall(e, f, m, now),
 			e.phase == phaseAsked && now.Sub(e.asked) >= askAgain:
 			e.phase, e.asked = phaseAsked, now
 			calls = append(calls, e.call)
--- a/mfduty/duty_test.go
+++ b/mfduty/duty_test.go
@@ -63,6 +63,31 @@
 	}
 }
 
+// A wave must not count as completed, nor a machine of it as back, because one list of machines lacks it: only what stays
+// away is gone.
+func TestMachineThatOneListLacksIsNotGone(t *testing.T) {
+	s := mfduty.New()
+	s.Ask(wave(1, "m-1", "m-2"), start)
+	all := []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}
+	now := start
+	plan := func(machines []mothferry.Machine) []mfduty.Call {
+		now = now.Add(300 * time.Millisecond)
+		return s.Plan(mfduty.Fleet{Machines: machines, Standby: off}, now)
+	}
+	assert.Equal(t, len(plan(nil)), 0)
+	assert.Assert(t, !s.Waves[1].Completed, "nothing is done")
+	first := plan(all)
+	assert.Equal(t, len(first), 1)
+	s.Answered(first[0], mfduty.AnswerUnknown, now)
+	assert.Equal(t, len(plan(all[1:])), 0, "the other one is begun while the first may be down")
+	assert.Equal(t, len(plan(all)), 0)
+	s.Answered(first[0], mfduty.AnswerDone, now)
+	for range 5 {
+		assert.Equal(t, len(plan(nil)), 0)
+	}
+	assert.Assert(t, s.Waves[1].Completed, "the other one is gone")
+}
+
 // A machine with work on it is emptied first. Another one keeps its pool going: the
 // last one would be left until the deadline asks for it.
 func TestBusyMachineIsEmptiedFirst(t *testing.T) {
