Take an order's answer of another life for the end of the life that it was sent to alone

A worker that starts again under its id may have another address then, and its former one may be another worker's. An order that was sent to the former address is answered there with the word that this is another life (421).

Starts and stops now say when they were sent, and one rule holds for all three kinds of orders.

TestOrderToAFormerLifeEndsNoNewOne fails before: one start, none expected, for the start as for the stop.

--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -124,16 +124,18 @@
 		w.after(commitDelay, func() { o.commit(v) })
 	case mfsched.Start:
 		w.Figures.Starts++
+		sent := w.now
 		o.order(v.At.Worker, func(k *worker) error { return k.start(v.Order) }, func(r mfsched.OrderResult, why mothferry.OrderRefusal) {
 			if r == mfsched.ResultRefused {
 				w.Figures.Refused++
 			}
-			o.step(mfsched.StartAnswered{Worker: v.At.Worker, Task: v.Order.Task, Run: v.Order.Run, Result: r, Refusal: why})
+			o.step(mfsched.StartAnswered{Worker: v.At.Worker, Sent: sent, Task: v.Order.Task, Run: v.Order.Run, Result: r, Refusal: why})
 		})
 	case mfsched.Stop:
 		w.Figures.Stops++
+		sent := w.now
 		o.order(v.At.Worker, func(k *worker) error { return k.stop(v.Task, v.Run, o.epoch) }, func(r mfsched.OrderResult, _ mothferry.OrderRefusal) {
-			o.step(mfsched.StopAnswered{Worker: v.At.Worker, Task: v.Task, Run: v.Run, Result: r})
+			o.step(mfsched.StopAnswered{Worker: v.At.Worker, Sent: sent, Task: v.Task, Run: v.Run, Result: r})
 		})
 	case mfsched.Decision:
 		if w.Watch != nil {
--- a/mfowner/order.go
+++ b/mfowner/order.go
@@ -25,15 +25,17 @@
 }
 
 func (s *session) start(c mfsched.Start) {
+	sent := s.owner.Clock.Now()
 	_, err := s.owner.Workers.Start(s.ctx, c.At, c.Order)
 	r, refusal := result(err)
-	s.post(mfsched.StartAnswered{Worker: c.At.Worker, Task: c.Order.Task, Run: c.Order.Run, Result: r, Refusal: refusal})
+	s.post(mfsched.StartAnswered{Worker: c.At.Worker, Sent: sent, Task: c.Order.Task, Run: c.Order.Run, Result: r, Refusal: refusal})
 }
 
 func (s *session) stop(c mfsched.Stop) {
+	sent := s.owner.Clock.Now()
 	_, err := s.owner.Workers.Stop(s.ctx, c.At, c.Task, c.Run, s.state.Epoch)
 	r, _ := result(err)
-	s.post(mfsched.StopAnswered{Worker: c.At.Worker, Task: c.Task, Run: c.Run, Result: r})
+	s.post(mfsched.StopAnswered{Worker: c.At.Worker, Sent: sent, Task: c.Task, Run: c.Run, Result: r})
 }
 
 func (s *session) look(c mfsched.Look) {
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -118,7 +118,9 @@
 
 // StartAnswered says how an order to start ended.
 type StartAnswered struct {
-	Worker  mothferry.WorkerID
+	Worker mothferry.WorkerID
+	// Sent is when the order was sent.
+	Sent    time.Time
 	Task    mothferry.TaskName
 	Run     mothferry.RunNumber
 	Result  OrderResult
@@ -128,6 +130,8 @@
 // StopAnswered says how an order to stop ended.
 type StopAnswered struct {
 	Worker mothferry.WorkerID
+	// Sent is when the order was sent.
+	Sent   time.Time
 	Task   mothferry.TaskName
 	Run    mothferry.RunNumber
 	Result OrderResult
--- a/mfsched/life.go
+++ b/mfsched/life.go
@@ -35,6 +35,20 @@
 	return w.born != 0 && w.Born > w.born || !w.began.IsZero() && now.Sub(w.began) < bornAgainGuard
 }
 
+// ofFormerLife reports whether an order was sent before its worker was heard to have started again,
+// so that its answer says nothing of the life that is known now.
+func (s *State) ofFormerLife(id mothferry.WorkerID, sent time.Time) bool {
+	w, ok := s.workers[id]
+	return ok && sent.Before(w.began)
+}
+
+// otherLife takes in that an order has found another life at its worker's address.
+func (s *State) otherLife(id mothferry.WorkerID, sent, now time.Time) {
+	if !s.ofFormerLife(id, sent) {
+		s.over(id, LifeUnknown, now)
+	}
+}
+
 // thisLife takes in which life has answered a look. It reports whether that is the newest.
 //
 // What goes wrong without it: a worker that has started again under its id is taken for the
--- a/mfsched/life_test.go
+++ b/mfsched/life_test.go
@@ -179,3 +179,33 @@
 	s.step(mfsched.WorkerOver{Worker: "w", Cause: mfsched.LifeCrashed})
 	assert.Equal(t, len(s.begun(time.Second)), 1, "its new life is used")
 }
+
+// startsAgainUnder has a worker start again in a second life that runs what was ordered in the first.
+func (s *script) startsAgainUnder(starts []mfsched.Start) {
+	s.t.Helper()
+	s.listLife("w", secondLife)
+	s.pass(30 * time.Millisecond)
+	s.answer("w", secondLife, mothferry.LookReport{Running: runningOf(starts)})
+}
+
+// A start or a stop that was sent to a worker's former address and ends there with the word that this
+// life is over must not free what the worker runs in its new life.
+func TestOrderToAFormerLifeEndsNoNewOne(t *testing.T) {
+	late := func(sent time.Time, o mfsched.Start) map[string]mfsched.Event {
+		return map[string]mfsched.Event{
+			"start": mfsched.StartAnswered{Worker: "w", Sent: sent, Task: o.Order.Task, Run: 1, Result: mfsched.ResultWorkerOver},
+			"stop":  mfsched.StopAnswered{Worker: "w", Sent: sent, Task: o.Order.Task, Run: 1, Result: mfsched.ResultWorkerOver},
+		}
+	}
+	for _, kind := range []string{"start", "stop"} {
+		t.Run(kind, func(t *testing.T) {
+			s, starts := runningInLife(t, 1)
+			sent := s.now
+			s.readyWorker("w-2")
+			s.startsAgainUnder(starts)
+			s.pass(600 * time.Millisecond)
+			s.step(late(sent, starts[0])[kind])
+			assert.Equal(t, len(s.begun(time.Second)), 0, "it runs in the new life")
+		})
+	}
+}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -61,8 +61,7 @@
 		return
 	}
 	w.closeLook(e.Number)
-	if e.Sent.Before(w.began) {
-		// It was sent to the life before.
+	if s.ofFormerLife(e.Worker, e.Sent) {
 		return
 	}
 	if e.Result == ResultWorkerOver {
@@ -285,7 +284,7 @@
 // startAnswered takes in the answer to an order to start.
 func (s *State) startAnswered(e StartAnswered, now time.Time) {
 	if e.Result == ResultWorkerOver {
-		s.over(e.Worker, LifeUnknown, now)
+		s.otherLife(e.Worker, e.Sent, now)
 		return
 	}
 	t := s.lookUp(e.Task)
@@ -338,7 +337,7 @@
 // stopAnswered takes in the answer to an order to stop.
 func (s *State) stopAnswered(e StopAnswered, now time.Time) {
 	if e.Result == ResultWorkerOver {
-		s.over(e.Worker, LifeUnknown, now)
+		s.otherLife(e.Worker, e.Sent, now)
 		return
 	}
 	t := s.lookUp(e.Task)
