Count a stop for the life of a worker that answered it

A start that has no answer may be carried out late, by a worker that has started again under its id. The owner therefore stops the run there, and starts the task elsewhere once the stop is answered and a later look shows nothing. Answers on two connections overtake each other: the answer of the former life to an earlier stop, taken in after the new life was heard of, counted as the new one's. The task was started elsewhere, and the late order made it run twice.

A stop that was sent before the new life was heard of counts no more; the next one does.

TestStopOfAFormerLifeIsNoneOfTheNewOne fails before: run 2 is started while the order for run 1 may be carried out. Two tests of lives now say when their stops were sent. The comment of the test before has one line now.

--- a/mfsched/life_test.go
+++ b/mfsched/life_test.go
@@ -130,7 +130,7 @@
 	stops := taken[mfsched.Stop](s)
 	assert.Assert(t, len(stops) > 0, "the new life is told to stop what it may yet be told to start")
 	assert.Equal(t, stops[0].Task, starts[0].Order.Task)
-	s.step(mfsched.StopAnswered{Worker: "w", Task: stops[0].Task, Run: 1, Result: mfsched.ResultDone})
+	s.step(mfsched.StopAnswered{Worker: "w", Sent: s.now, Task: stops[0].Task, Run: 1, Result: mfsched.ResultDone})
 	s.pass(30 * time.Millisecond)
 	s.answer("w", secondLife, mothferry.LookReport{})
 	s.pass(100 * time.Millisecond)
@@ -158,7 +158,7 @@
 			s.listLife("w", born)
 		}
 		for _, o := range taken[mfsched.Stop](s) {
-			s.step(mfsched.StopAnswered{Worker: "w", Task: o.Task, Run: o.Run, Result: mfsched.ResultDone})
+			s.step(mfsched.StopAnswered{Worker: "w", Sent: s.now, Task: o.Task, Run: o.Run, Result: mfsched.ResultDone})
 		}
 		for _, l := range taken[mfsched.Look](s) {
 			s.step(mfsched.LookAnswered{Worker: "w", Number: l.Number, Sent: s.now, Report: mothferry.LookReport{Born: born, Clock: mothferry.WorkerClock(s.now.Sub(start))}})
@@ -188,8 +188,7 @@
 	s.answer("w", secondLife, mothferry.LookReport{Running: runningOf(starts)})
 }
 
-// A start or a stop that was sent to a worker's former address and ends there with the word that this
-// life is over must not free what the worker runs in its new life.
+// An order that finds another worker at a former address must not end the life that its worker has now.
 func TestOrderToAFormerLifeEndsNoNewOne(t *testing.T) {
 	late := func(sent time.Time, o mfsched.Start) map[string]mfsched.Event {
 		return map[string]mfsched.Event{
@@ -209,3 +208,17 @@
 		})
 	}
 }
+
+// A stop that a former life answered must not count for the new one, which may carry the start out late.
+func TestStopOfAFormerLifeIsNoneOfTheNewOne(t *testing.T) {
+	s, starts := runningInLife(t, 1)
+	s.readyWorker("w-2")
+	sent := s.now
+	s.startsAgainUnder(nil)
+	s.step(mfsched.StopAnswered{Worker: "w", Sent: sent, Task: starts[0].Order.Task, Run: 1, Result: mfsched.ResultDone})
+	s.pass(30 * time.Millisecond)
+	s.answer("w", secondLife, mothferry.LookReport{})
+	for _, o := range s.begun(100 * time.Millisecond) {
+		assert.Equal(t, o.Order.Run, mothferry.RunNumber(1), "started elsewhere while the first order may be carried out")
+	}
+}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -344,7 +344,7 @@
 	if t == nil || t.run != e.Run || t.worker == nil || t.worker.at.Worker != e.Worker {
 		return
 	}
-	if e.Result == ResultDone {
+	if e.Result == ResultDone && !s.ofFormerLife(e.Worker, e.Sent) {
 		if t.stopped.IsZero() {
 			// The first answer is what counts: from then on the worker refuses
 			// that run. Later ones would always be newer than the look under way.
