Keep a worker whose new life is listed when a look at its former address fails

A worker that starts again under its id with another address is listed before it has answered a look. A look that was on its way to the former address finds another worker there; as no look of the new life had been answered, that counted as the end of the worker, which was forgotten with its new entry. The list tells of it only when it changes again: the worker got no work, and what it ran lost its lease, for as long as this owner had the shard. A new life counts as heard of when it is listed, too.

TestLookAtAFormerAddressLosesNoWorker fails before: no look at the worker follows. TestHistories and TestHistoriesUnderOneID, 300 drawn histories each, find nothing with it.

--- a/mfsched/life.go
+++ b/mfsched/life.go
@@ -25,7 +25,7 @@
 	if born < w.newestBorn() {
 		return false
 	}
-	w.sealed, w.open, w.nextLook = false, nil, now
+	w.sealed, w.open, w.nextLook, w.began = false, nil, now, now
 	return true
 }
 
--- a/mfsched/life_test.go
+++ b/mfsched/life_test.go
@@ -222,3 +222,20 @@
 		assert.Equal(t, o.Order.Run, mothferry.RunNumber(1), "started elsewhere while the first order may be carried out")
 	}
 }
+
+// A look that finds another worker at a former address must not lose the new life that is listed by then.
+func TestLookAtAFormerAddressLosesNoWorker(t *testing.T) {
+	s := newScript(t)
+	s.listLife("w", firstLife)
+	s.pass(10 * time.Millisecond)
+	first := taken[mfsched.Look](s)
+	assert.Equal(t, len(first), 1)
+	sent := s.now
+	s.pass(10 * time.Millisecond)
+	s.listLife("w", secondLife)
+	s.step(mfsched.LookFailed{Worker: "w", Number: first[0].Number, Sent: sent, Result: mfsched.ResultWorkerOver})
+	s.pass(20 * time.Millisecond)
+	s.answer("w", secondLife, mothferry.LookReport{})
+	s.submit("j", 1)
+	assert.Equal(t, len(s.begun(time.Second)), 1, "its new life is used")
+}
