Tell the ends of former lives by when the list of machines was asked for

The list of machines shows that a machine is down, and so that its worker's life is over. A worker that starts again under its id is heard of by its entry, and the list may show its former life for a while: what it said within half a second of the new life was passed over. That half second was counted to when the list came, not to when it was asked for. The platform may be slow: a list that was asked for before the new life began, and came a second later, ended the new life. Its tasks started elsewhere while they ran (TWICE), and were stopped as strays (AVAIL).

An end that was true and is passed over so is still noticed by the lease, as before.

TestSlowListOfMachinesEndsNoNewLife fails before: one start, none expected. 200 drawn histories each of TestHistories and TestHistoriesUnderOneID, and the tests of mfsched, mfduty and mfowner, pass. Found by reading; only ids that are used again are affected.

--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -124,6 +124,7 @@
 			machines = append(machines, mothferry.Machine{Machine: m.id, Pool: m.pool, State: m.state, Capacity: m.has, Worker: m.life})
 		}
 		for _, e := range o.lives.Over(machines, o.state.Loads(), w.now) {
+			e.Asked = w.now
 			o.step(e)
 		}
 		if !w.Moves || w.now.Sub(o.taken) < handOver || w.now.Sub(o.confirmed) > callWithin {
--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -161,12 +161,12 @@
 		machines, err := s.owner.Machines.List(s.ctx)
 		s.act(func() {
 			s.duties.next = now.Add(listGap(s.owner.Clock.Now().Sub(now)))
-			s.planDuties(machines, err)
+			s.planDuties(machines, now, err)
 		})
 	}()
 }
 
-func (s *session) planDuties(machines []mothferry.Machine, err error) {
+func (s *session) planDuties(machines []mothferry.Machine, asked time.Time, err error) {
 	s.duties.listing = false
 	if err != nil {
 		s.owner.machinesEpisode.Failed(err, "machines can't be listed")
@@ -178,6 +178,7 @@
 	s.duties.largest = largestOf(machines)
 	s.step(mfsched.FleetSized{Cores: coresOf(machines)})
 	for _, e := range s.duties.lives.Over(machines, s.state.Loads(), now) {
+		e.Asked = asked
 		s.step(e)
 	}
 	if !s.mayChangeMachines(now) {
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -177,7 +177,9 @@
 // WorkerOver says that a life of a worker is known to have ended.
 type WorkerOver struct {
 	Worker mothferry.WorkerID
-	Cause  LifeEnd
+	// Asked is when the list that tells it was asked for.
+	Asked time.Time
+	Cause LifeEnd
 }
 
 // LifeEnd is why a life of a worker ended.
--- a/mfsched/life.go
+++ b/mfsched/life.go
@@ -30,9 +30,9 @@
 }
 
 // awaitsNewLife reports whether a worker has started again, by its entry or by an answer,
-// so that what tells of an end just now tells of the life before.
-func (w *worker) awaitsNewLife(now time.Time) bool {
-	return w.born != 0 && w.Born > w.born || !w.began.IsZero() && now.Sub(w.began) < bornAgainGuard
+// so that an end that was asked for at a time is that of the life before.
+func (w *worker) awaitsNewLife(asked time.Time) bool {
+	return w.born != 0 && w.Born > w.born || !w.began.IsZero() && asked.Sub(w.began) < bornAgainGuard
 }
 
 // ofFormerLife reports whether an order was sent before its worker was heard to have started again,
@@ -45,7 +45,7 @@
 // otherLife takes in that an order has found another life at its worker's address.
 func (s *State) otherLife(id mothferry.WorkerID, sent, now time.Time) {
 	if !s.ofFormerLife(id, sent) {
-		s.over(id, LifeUnknown, now)
+		s.over(id, LifeUnknown, now, now)
 	}
 }
 
--- a/mfsched/life_test.go
+++ b/mfsched/life_test.go
@@ -239,3 +239,14 @@
 	s.submit("j", 1)
 	assert.Equal(t, len(s.begun(time.Second)), 1, "its new life is used")
 }
+
+// A list of machines that was asked for before a new life began must not end that life, however late it comes.
+func TestSlowListOfMachinesEndsNoNewLife(t *testing.T) {
+	s, starts := runningInLife(t, 1)
+	s.readyWorker("w-2")
+	asked := s.now
+	s.startsAgainUnder(starts)
+	s.pass(600 * time.Millisecond)
+	s.step(mfsched.WorkerOver{Worker: "w", Asked: asked, Cause: mfsched.LifeCrashed})
+	assert.Equal(t, len(s.begun(time.Second)), 0, "it runs in the new life")
+}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if e.Result == ResultWorkerOver {
-		s.over(e.Worker, LifeUnknown, now)
+		s.over(e.Worker, LifeUnknown, now, now)
 		return
 	}
 	if s.lookLost(w, e.Sent, now) {
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -247,7 +247,7 @@
 	case WorkerUnlisted:
 		s.unlisted(v.Worker)
 	case WorkerOver:
-		s.over(v.Worker, v.Cause, now)
+		s.over(v.Worker, v.Cause, v.Asked, now)
 	case FleetSized:
 		s.fleetCores = v.Cores
 	case CommitWanted:
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -162,14 +162,14 @@
 	}
 }
 
-// over frees all tasks of a life that has ended.
-func (s *State) over(id mothferry.WorkerID, cause LifeEnd, now time.Time) {
+// over frees all tasks of a life that has ended, by an answer that was asked for at a time.
+func (s *State) over(id mothferry.WorkerID, cause LifeEnd, asked, now time.Time) {
 	w, ok := s.workers[id]
 	if !ok {
 		s.giveUp(s.resolve(id, cause), now)
 		return
 	}
-	if w.awaitsNewLife(now) {
+	if w.awaitsNewLife(asked) {
 		s.emit(Decision{Message: "life before is over", Worker: id, Fields: map[string]any{"cause": cause, "born": w.born}})
 		return
 	}
