Pass on how long an earlier owner's leases run, beyond an owner's first commit

A successor that can't reach a worker waits until all leases have lapsed that earlier owners asked for, which the head of the shard tells. An owner's claim carries its predecessor's figure if that is the longer one, but its first commit after that wrote its own alone. If hosts have different limits, as while settings or programs are replaced one by one, the third of three owners in a row could count from the second one's shorter leases, and start tasks elsewhere that the first one still kept at work (TWICE). With equal limits, as on all of today's deployments, nothing changes: own leases end later.

--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"mothferry/mfjournal"
 	"mothferry/mfrecord"
@@ -10,9 +11,9 @@
 
 // commit stores progress together with the head row.
 func (s *session) commit(c mfsched.Commit) {
-	rows := s.journal.Write(c.Progress)
-	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.owner.Limits.LeaseTail()}
 	now := s.owner.Clock.Now()
+	rows := s.journal.Write(c.Progress)
+	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.chain.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.leaseTail(now)}
 	head.Called, head.Largest = s.calledAgo(now), s.duties.largest
 	head.CalledBy = maps.Clone(s.duties.calledBy)
 	if pending, known := s.state.Pending(); known {
@@ -35,3 +36,9 @@
 		s.written <- err
 	}()
 }
+
+// leaseTail is how long after a commit that is sent now leases may run that this owner or an earlier one
+// asked for.
+func (s *session) leaseTail(now time.Time) time.Duration {
+	return max(s.owner.Limits.LeaseTail(), s.state.Floor.Sub(now))
+}
--- a/mfowner/successor_test.go
+++ b/mfowner/successor_test.go
@@ -213,3 +213,29 @@
 	end()
 	ended()
 }
+
+// A third owner must still wait for the leases of the first, if the second one's own are shorter.
+func TestLongLeasesOutlastTwoTakeovers(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	first := mfrecord.Head{Holder: "h-1", Epoch: 1, Cores: 800, LeaseTail: time.Minute}
+	value, err := first.Encode()
+	assert.NilError(t, err)
+	_, err = rows.Commit(context.Background(), mothferry.Txn{Writes: []mothferry.Write{{Table: mfrecord.TableOwner, Part: mfrecord.PartShard, Key: mfrecord.KeyHead, Value: value}}})
+	assert.NilError(t, err)
+	began := time.Now()
+	second, _ := logged("h-2", rows)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = second.Run(ctx) })
+	eventually(t, "the shard has an owner", second.Owning)
+	head := func() mfrecord.Head {
+		seen, err := readHead(context.Background(), rows)
+		assert.NilError(t, err)
+		return seen.head
+	}
+	eventually(t, "the second owner stores something", func() bool { return head().Counted })
+	assert.Assert(t, head().LeaseTail > time.Minute-time.Since(began), "%v", head().LeaseTail)
+	cancel()
+	running.Wait()
+	assert.Assert(t, head().LeaseTail > time.Minute-time.Since(began), "%v after it gave the shard up", head().LeaseTail)
+}
