Take no unknown state of a machine for the end of its worker's life

The list of machines ends a life when its machine shows none and is not up. A state that this program does not know, as of a newer platform, was read as not up: a worker without an id beside such a state would have counted as crashed, and its tasks started elsewhere while they ran. Only the states of which the platform says that nothing runs end a life now: down, moving, upkeep.

TestUnknownStateEndsNoLife fails before. Found by reading; no such state has been seen.

--- a/mfduty/life.go
+++ b/mfduty/life.go
@@ -52,16 +52,22 @@
 	for _, m := range machines {
 		present[m.Worker] = true
 		old := l.of[m.Machine]
-		if old.worker != "" && m.Worker != old.worker && (m.Worker != "" || m.State != mothferry.MachineUp) {
-			over = append(over, mfsched.WorkerOver{Worker: old.worker, Cause: old.ending(m)})
+		if m.Worker == "" && !withoutWorker(m.State) {
+			continue
 		}
-		if m.Worker != "" || m.State != mothferry.MachineUp {
-			l.of[m.Machine] = life{worker: m.Worker, pool: m.Pool}
+		if old.worker != "" && m.Worker != old.worker {
+			over = append(over, mfsched.WorkerOver{Worker: old.worker, Cause: old.ending(m)})
 		}
+		l.of[m.Machine] = life{worker: m.Worker, pool: m.Pool}
 	}
 	return append(over, l.gone(present, loads, now)...)
 }
 
+// withoutWorker reports whether a machine in a state has no worker.
+func withoutWorker(s mothferry.MachineState) bool {
+	return s == mothferry.MachineDown || s == mothferry.MachineMoving || s == mothferry.MachineUpkeep
+}
+
 // gone returns the lives with work that no machine has shown for a while: a
 // successor knows them only by what its predecessor stored.
 func (l *Lives) gone(present map[mothferry.WorkerID]bool, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []mfsched.WorkerOver {
--- a/mfduty/life_test.go
+++ b/mfduty/life_test.go
@@ -47,3 +47,11 @@
 	assert.Equal(t, len(l.Over(machines, loads, start.Add(500*time.Millisecond))), 0)
 	assert.DeepEqual(t, l.Over(machines, loads, start.Add(time.Second)), []mfsched.WorkerOver{{Worker: "w-1", Cause: mfsched.LifeUnknown}})
 }
+
+// A state of a machine that this program does not know must not end the life of its worker.
+func TestUnknownStateEndsNoLife(t *testing.T) {
+	var l mfduty.Lives
+	assert.Equal(t, len(l.Over([]mothferry.Machine{up("m-1", "w-1")}, nil, start)), 0)
+	assert.Equal(t, len(l.Over([]mothferry.Machine{{Machine: "m-1", State: mothferry.MachineUnknown}}, nil, start)), 0)
+	assert.DeepEqual(t, l.Over([]mothferry.Machine{down("m-1")}, nil, start), []mfsched.WorkerOver{{Worker: "w-1", Cause: mfsched.LifeCrashed}})
+}
