Wait for the leases of a new life that is listed and silent

An order without an answer may be carried out late, by a worker that has started again under its id. Once the new life has answered a look, the owner therefore takes none of its leases as lapsed until all must have. The same wait holds from when a new life is listed.

TestSilentNewLifeIsWaitedFor fails before: started elsewhere after 4.85 s, where 8.5 s must pass. Found by reading; only ids that are used again are affected.

--- a/mfsched/life.go
+++ b/mfsched/life.go
@@ -18,14 +18,15 @@
 // listedAgain reports whether a worker's entry is of the newest life that is known, or of a
 // newer one. The new life is looked at at once: only its answer tells what it runs, since
 // orders that were meant for the life before may have reached it already.
-func (w *worker) listedAgain(born mothferry.LifeStart, now time.Time) bool {
+func (w *worker) listedAgain(born mothferry.LifeStart, now time.Time, l Limits) bool {
 	if born == 0 || w.newestBorn() == 0 || born == w.newestBorn() {
 		return true
 	}
 	if born < w.newestBorn() {
 		return false
 	}
-	w.sealed, w.open, w.nextLook, w.began = false, nil, now, now
+	w.sealed, w.open, w.nextLook = false, nil, now
+	w.began, w.floor = now, now.Add(l.LeaseTail())
 	return true
 }
 
--- a/mfsched/life_test.go
+++ b/mfsched/life_test.go
@@ -250,3 +250,47 @@
 	s.step(mfsched.WorkerOver{Worker: "w", Asked: asked, Cause: mfsched.LifeCrashed})
 	assert.Equal(t, len(s.begun(time.Second)), 0, "it runs in the new life")
 }
+
+// A new life that is listed and silent must not be taken for lapsed by the clock of the life before.
+func TestSilentNewLifeIsWaitedFor(t *testing.T) {
+	s := newScript(t)
+	s.listLife("w", firstLife)
+	s.list("w-2")
+	silent := false
+	// round lets a little time pass and returns how many starts were ordered.
+	round := func() int {
+		s.pass(50 * time.Millisecond)
+		for _, l := range taken[mfsched.Look](s) {
+			if silent && l.At.Worker == "w" {
+				s.step(mfsched.LookFailed{Worker: "w", Number: l.Number, Sent: s.now, Result: mfsched.ResultUnknown})
+				continue
+			}
+			report := mothferry.LookReport{Clock: mothferry.WorkerClock(s.now.Sub(start) + time.Hour)}
+			if l.At.Worker == "w" {
+				report.Born = firstLife
+			}
+			s.step(mfsched.LookAnswered{Worker: l.At.Worker, Number: l.Number, Sent: s.now, Report: report})
+		}
+		return len(taken[mfsched.Start](s))
+	}
+	l := limits()
+	for s.now.Before(start.Add(2 * l.LeaseTail())) {
+		assert.Equal(t, round(), 0)
+	}
+	s.submit("j", 1)
+	s.step(mfsched.WorkersLeaving{Workers: map[mothferry.WorkerID]bool{"w-2": true}})
+	assert.Equal(t, round(), 1)
+	// The start has no answer, and the new life may carry it out late.
+	silent = true
+	s.listLife("w", secondLife)
+	s.step(mfsched.WorkersLeaving{})
+	listed := s.now
+	for s.now.Before(listed.Add(l.ExtendFor + l.Hold)) {
+		assert.Equal(t, round(), 0, "started elsewhere after %v", s.now.Sub(listed))
+	}
+	again := 0
+	for s.now.Before(listed.Add(2 * l.LeaseTail())) {
+		again += round()
+	}
+	assert.Assert(t, again > 0, "never started again")
+}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -137,7 +137,7 @@
 	if !ok {
 		w = s.placeholder(l.At.Worker)
 	}
-	if !w.listedAgain(l.Born, now) {
+	if !w.listedAgain(l.Born, now, s.Limits) {
 		return
 	}
 	if !w.listed {
