Don't take a worker that answers for gone when the list of machines shows it nowhere

A life with work that no machine has shown for a second counts as over, so that a successor need not wait for leases of workers that went before it came. That held for any worker: a machine that shows no id for a second while it is up, or a page that misses it for so long, would end a life that answers each look; its tasks would start elsewhere while they run (TWICE), and it would get no more work. What answers looks in this epoch is not gone now, whatever the list shows; once it is silent the second counts.

TestWorkerThatAnswersIsNotGone fails before: over after 1 s. 200 drawn histories each of TestHistories and TestHistoriesUnderOneID pass.

--- a/mfduty/life.go
+++ b/mfduty/life.go
@@ -68,12 +68,13 @@
 	return s == mothferry.MachineDown || s == mothferry.MachineMoving || s == mothferry.MachineUpkeep
 }
 
-// gone returns the lives with work that no machine has shown for a while: a
-// successor knows them only by what its predecessor stored.
+// gone returns the lives with work that no machine has shown for a while and that do not
+// answer: a successor knows them only by what its predecessor stored.
 func (l *Lives) gone(present map[mothferry.WorkerID]bool, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []mfsched.WorkerOver {
 	var over []mfsched.WorkerOver
 	for id, load := range loads {
-		if present[id] || load.Tasks == 0 {
+		answers := load.Known && !load.Failing
+		if present[id] || load.Tasks == 0 || answers {
 			delete(l.absent, id)
 			continue
 		}
--- a/mfduty/life_test.go
+++ b/mfduty/life_test.go
@@ -55,3 +55,17 @@
 	assert.Equal(t, len(l.Over([]mothferry.Machine{{Machine: "m-1", State: mothferry.MachineUnknown}}, nil, start)), 0)
 	assert.DeepEqual(t, l.Over([]mothferry.Machine{down("m-1")}, nil, start), []mfsched.WorkerOver{{Worker: "w-1", Cause: mfsched.LifeCrashed}})
 }
+
+// A worker that answers must not count as over because the list of machines shows it nowhere for a second.
+func TestWorkerThatAnswersIsNotGone(t *testing.T) {
+	var l mfduty.Lives
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 2, Known: true}}
+	lists := [][]mothferry.Machine{{up("m-1", "")}, {}}
+	assert.Equal(t, len(l.Over([]mothferry.Machine{up("m-1", "w-1")}, loads, start)), 0)
+	for d := time.Duration(0); d < 3*time.Second; d += 200 * time.Millisecond {
+		assert.Equal(t, len(l.Over(lists[int(d/time.Second)%2], loads, start.Add(d))), 0, "after %v", d)
+	}
+	loads["w-1"] = mfsched.Load{Tasks: 2, Known: true, Failing: true}
+	assert.Equal(t, len(l.Over(nil, loads, start.Add(3*time.Second))), 0)
+	assert.DeepEqual(t, l.Over(nil, loads, start.Add(4*time.Second)), []mfsched.WorkerOver{{Worker: "w-1", Cause: mfsched.LifeUnknown}})
+}
