Take a lasting task's run over that is newer than on record, instead of stopping it

What made it so harmful was the rule for strays: a run that is not the one on record is stopped at once, and its task is placed as if nothing ran. A record that is too old, for whatever cause, so ends what works and runs it twice.

A run that a worker shows in its first answer of an epoch, and that has a higher number than the one on record, or that number where the task is known to be nowhere, becomes its task's run now; a start that is planned and not ordered is dropped. An owner numbers a run higher only once all lower ones are over, so the higher number tells which record is the newer one. It never lets a task run twice, since it only takes starts away: - once this owner has ordered the task, its own run stays the task's and the other one is stopped; - after a worker's first answer only this owner's orders are carried out there, so later strays are stopped; - older runs, runs of jobs that are over, gangs and tasks that end by themselves are treated as before.

Weighed against it: to keep to may_miss when a stray is stopped. That leaves two runs of a task for as long as others are away, which is the worse of the two. Not done: to hold starts back until all listed workers have answered once. It would also close the moment between a start and the first answer of the worker that has the run, at the price of the time-out of a look for each takeover beside a silent worker.

--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -83,7 +83,7 @@
 // entry is the run that the task is meant to have there.
 func (s *State) running(w *worker, r mothferry.RunningTask, now time.Time) bool {
 	t := s.lookUp(r.Task)
-	if t == nil || t.worker != w || t.run != r.Run {
+	if (t == nil || t.worker != w || t.run != r.Run) && !s.adopt(w, r, now) {
 		stray := strayRun{task: r.Task, run: r.Run}
 		if _, told := w.stray[stray]; !told {
 			s.noteStray(w, stray)
