Store no part of a millisecond less than earlier owners' leases run

The head of the shard has whole milliseconds, and what an owner passes on of its predecessor's leases was cut down to them. A successor counted up to a millisecond too little, within the margin of 200 ms that leases have. TestLongLeasesOutlastTwoTakeovers asks for the whole time and failed once for it, in a run of all packages beside a soak (58.714 s stored, no less than 58.714 s and a part were left); 30 runs by itself passed.

TestStoredLeasesAreNotCutShort fails before: 1m0s stored where 1m0.0004s are left. After it, 60 runs of TestLongLeasesOutlastTwoTakeovers pass.

--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -40,5 +40,7 @@
 // leaseTail is how long after a commit that is sent now leases may run that this owner or an earlier one
 // asked for.
 func (s *session) leaseTail(now time.Time) time.Duration {
-	return max(s.owner.Limits.LeaseTail(), s.state.Floor.Sub(now))
+	// The head has whole milliseconds; none may be cut off.
+	left := s.state.Floor.Sub(now).Truncate(time.Millisecond) + time.Millisecond
+	return max(s.owner.Limits.LeaseTail(), left)
 }
--- a/mfowner/successor_test.go
+++ b/mfowner/successor_test.go
@@ -14,6 +14,7 @@
 	"mothferry"
 	"mothferry/mfjob"
 	"mothferry/mfrecord"
+	"mothferry/mfsched"
 	"mothferry/mfstandin"
 )
 
@@ -239,3 +240,15 @@
 	running.Wait()
 	assert.Assert(t, head().LeaseTail > time.Minute-time.Since(began), "%v after it gave the shard up", head().LeaseTail)
 }
+
+// What is stored of an earlier owner's leases must not end a part of a millisecond before they do.
+func TestStoredLeasesAreNotCutShort(t *testing.T) {
+	now := time.Now()
+	left := time.Minute + 400*time.Microsecond
+	s := &session{owner: &Owner{Limits: mfsched.UsualLimits()}, state: mfsched.New(mfsched.UsualLimits(), 2, now, now.Add(left))}
+	value, err := mfrecord.Head{LeaseTail: s.leaseTail(now)}.Encode()
+	assert.NilError(t, err)
+	head, err := mfrecord.DecodeHead(value)
+	assert.NilError(t, err)
+	assert.Assert(t, head.LeaseTail >= left, "%v", head.LeaseTail)
+}
