Show in a test that a log numbered anew by an older program fills each commit of a successor

A log that an older program numbered anew, while jobs' rows still name a higher number, leaves a gap between the two when it is read: each number in it is deleted in turn though no row has it. Seen: 90 rows in each commit (1800 in 20 commits, where 20 are written without a gap) with a gap of 100,000. With one of 1,000,000 a call of Write takes 0.2 s of processor time, nearly all of it in moveOld, which goes through the gap as well. The test fails on this commit.

--- /dev/null
+++ b/mfjournal/numbering_test.go
@@ -0,0 +1,34 @@
+package mfjournal_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mothferry"
+	"mothferry/mfjob"
+	"mothferry/mfjournal"
+	"mothferry/mfrecord"
+)
+
+// A log that an older program numbered anew, far below what jobs' rows name, must not fill commits with deletions of absent rows.
+func TestLogNumberedAnewFillsNoCommits(t *testing.T) {
+	const highest, commits = 100_000, 20
+	lasts := progress(1, 2)
+	lasts.After = highest
+	stored := newStore()
+	stored.apply(t, []mothferry.Write{{Table: mfrecord.TableProgress, Key: "lasts", Value: mfjob.EncodeProgress(lasts)}})
+	j := &mfjournal.Journal{}
+	stored.apply(t, j.Write(map[mothferry.JobID]mfjob.Progress{"other": progress(1, 1)}))
+	stored.apply(t, j.Write(map[mothferry.JobID]mfjob.Progress{"other": progress(2, 1)}))
+	_, j = stored.read(t)
+	rows := 0
+	for run := range commits {
+		written := j.Write(map[mothferry.JobID]mfjob.Progress{"lasts": progress(run+2, 2)})
+		rows += len(written)
+		stored.apply(t, written)
+	}
+	got, _ := stored.read(t)
+	assert.DeepEqual(t, got["lasts"], progress(commits+1, 2))
+	assert.Assert(t, rows < 5*commits, "%d rows in %d commits", rows, commits)
+}
