Ask a peer once more over a new session before placements count as confirmed

A daemon that resumes from a pause must not send requests by old placements, and compares them with a peer first. Its sessions may have ended meanwhile, as the peers gave it up; then no peer was reached, the platform may be out as well, and a daemon that reaches nobody goes on by what it has: its old placements counted as confirmed. Cause: a session that is about to be opened anew counted as a peer that can't be reached. Seen to fail before: TestPeerIsAskedAgainOverANewSession (generation 0, 5 expected).

--- a/mffollow/fresh_test.go
+++ b/mffollow/fresh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -117,3 +118,61 @@
 	f.catchUp(t.Context())
 	assert.Equal(t, f.Store.Current().Placements["p"].Generation, mothferry.Generation(5))
 }
+
+// severable passes connections on to an address and can end them all.
+type severable struct {
+	net.Listener
+
+	mutex       sync.Mutex
+	connections []net.Conn
+}
+
+func (s *severable) serve(to string) {
+	for {
+		near, err := s.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", to)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		s.mutex.Lock()
+		s.connections = append(s.connections, near, far)
+		s.mutex.Unlock()
+		go func() { _, _ = io.Copy(near, far) }()
+		go func() { _, _ = io.Copy(far, near) }()
+	}
+}
+
+func (s *severable) sever() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, c := range s.connections {
+		_ = c.Close()
+	}
+	s.connections = nil
+}
+
+// A daemon whose sessions ended while it was paused must not take its old placements for confirmed.
+func TestPeerIsAskedAgainOverANewSession(t *testing.T) {
+	awake, own := listen(t), listen(t)
+	between := &severable{Listener: listen(t)}
+	go between.serve(awake.Addr().String())
+	other := follower(t, "awake", awake, mfpeer.Peer{Daemon: "own", DataCentre: "dc1", Address: own.Addr().String()})
+	peer := mfpeer.Peer{Daemon: "awake", DataCentre: "dc1", Address: between.Addr().String()}
+	f := follower(t, "own", own, peer)
+	for generation := mothferry.Generation(5); generation < 15; generation++ {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if _, err := f.Mesh.Exchange(t.Context(), peer); err != nil {
+				return poll.Continue("no session to the peer: %v", err)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(time.Minute))
+		other.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: generation})
+		between.sever()
+		f.catchUp(t.Context())
+		assert.Equal(t, f.Store.Current().Placements["p"].Generation, generation)
+	}
+}
--- a/mfpeer/mesh.go
+++ b/mfpeer/mesh.go
@@ -98,6 +98,8 @@
 	sessions map[mothferry.DaemonID]*mfsession.Session
 	incoming map[*mfsession.Session]struct{}
 	spills   *spillListener
+	// opened is closed, and replaced, when a session is opened.
+	opened chan struct{}
 }
 
 // Prepare readies a mesh for use before Run.
@@ -106,6 +108,7 @@
 	m.sessions = map[mothferry.DaemonID]*mfsession.Session{}
 	m.incoming = map[*mfsession.Session]struct{}{}
 	m.spills = newSpillListener()
+	m.opened = make(chan struct{})
 	for _, p := range m.Peers {
 		m.states[p.Daemon] = &State{Peer: p}
 	}
@@ -288,9 +291,29 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.sessions[p.Daemon] = session
+	close(m.opened)
+	m.opened = make(chan struct{})
 	return session, nil
 }
 
+// Await waits until there is a session to a peer.
+func (m *Mesh) Await(ctx context.Context, peer mothferry.DaemonID) error {
+	for {
+		m.mutex.Lock()
+		_, there := m.sessions[peer]
+		opened := m.opened
+		m.mutex.Unlock()
+		if there {
+			return nil
+		}
+		select {
+		case <-opened:
+		case <-ctx.Done():
+			return trace.Wrap(&ErrNoSession{Daemon: peer})
+		}
+	}
+}
+
 // beat exchanges heartbeats with a peer until a call fails. Of two peers only
 // the one with the smaller id begins: the reply carries the other's status.
 // The other side merely watches its session.
