Send no request to a runner that leaves by placements that the router has yet to take in

Callers' requests went to runners that had left, one to three of a hundred, once in some fifteen runs beside a load, after a daemon was paused for 3 s. Cause, from a run with more lines in its log: the daemon resumes, compares its placements with a peer, which brings newer ones, and they count as confirmed; the router takes them in a moment later, and requests that waited for the comparison get a runner of the old ones meanwhile (1.8 ms in that run). Before a request is sent its runner is now looked for among the placements in force; if it may get no new work, the request asks the router again. The harness of mfentry places its runners, as they would have to be.

--- a/mfentry/dispatch.go
+++ b/mfentry/dispatch.go
@@ -5,12 +5,14 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"mothferry"
 	"mothferry/mfclock"
 	"mothferry/mfpeer"
+	"mothferry/mfplacement"
 	"mothferry/mfroute"
 )
 
@@ -57,7 +59,7 @@
 // dispatch brings a request to an answer, or to an ErrNotRun or ErrOutcomeUnknown.
 func (h *Handler) dispatch(ctx context.Context, q *request) (*answer, error) {
 	past := &attempts{tried: map[mothferry.TaskID]bool{}}
-	for try := range maxTries {
+	for try := 0; try < maxTries; {
 		h.confirmed(ctx)
 		lease, err := h.Router.Acquire(ctx, q.service, mfroute.Request{
 			Customer: q.customer, Priority: q.priority, Exclude: past.tried,
@@ -70,6 +72,11 @@
 		if f == nil {
 			return a, nil
 		}
+		if f.reason == mothferry.ReasonStaleView && mfclock.Sleep(ctx, h.Clock, confirmPause) {
+			// Nothing was sent.
+			continue
+		}
+		try++
 		past.add(lease.Task, f)
 		if ctx.Err() != nil || !q.mayTryAgain(f) {
 			break
@@ -89,7 +96,7 @@
 
 // try sends a request to one runner.
 func (h *Handler) try(ctx context.Context, q *request, lease *mfroute.Lease) (*answer, *failure) {
-	if f := h.stale(q); f != nil {
+	if f := h.stale(q, lease.Task); f != nil {
 		h.Router.Release(q.service, lease, f.result)
 		return nil, f
 	}
@@ -119,13 +126,14 @@
 // stale returns a failure if the request or the placements that it was given
 // a runner from are too old to send anything by. Both happen to a daemon that
 // was paused: its caller was told of the deadline or will be, and the runner
-// may have left meanwhile.
-func (h *Handler) stale(q *request) *failure {
+// may have left meanwhile. The router takes newer placements in a moment after they
+// are in force.
+func (h *Handler) stale(q *request, runner mothferry.TaskID) *failure {
 	now := h.Clock.Now()
 	switch {
 	case !now.Before(q.deadline):
 		return &failure{notRun: true, reason: mothferry.ReasonDeadline, result: mfroute.ResultNeutral}
-	case now.Sub(h.Confirmed()) > h.Notice:
+	case now.Sub(h.Confirmed()) > h.Notice, !h.serving(q.service, runner):
 		return &failure{notRun: true, reason: mothferry.ReasonStaleView, result: mfroute.ResultNeutral}
 	}
 	return nil
@@ -139,6 +147,13 @@
 	}
 }
 
+// serving reports whether a runner may get new requests by the placements in force.
+func (h *Handler) serving(service mothferry.ServiceID, task mothferry.TaskID) bool {
+	return slices.ContainsFunc(h.Store.Current().Runners[service], func(r mfplacement.Runner) bool {
+		return r.Task == task && r.State == mfplacement.StateServing
+	})
+}
+
 // connections returns this daemon's part of a runner's connections. All entry
 // hosts count, also those that are down: a limit that followed the membership
 // would be overrun while one of them returns.
--- a/mfentry/harness_test.go
+++ b/mfentry/harness_test.go
@@ -25,6 +25,7 @@
 	"mothferry/mfledger"
 	"mothferry/mflog"
 	"mothferry/mfpeer"
+	"mothferry/mfplacement"
 	"mothferry/mfroute"
 	"mothferry/mfsnapshot"
 )
@@ -38,13 +39,15 @@
 	out       int
 }
 
+func runnerID(i int) mothferry.TaskID { return mothferry.TaskID(fmt.Sprint("runner-", i)) }
+
 func (u *upstreams) Acquire(ctx context.Context, _ mothferry.ServiceID, q mfroute.Request) (*mfroute.Lease, error) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	for range u.addresses {
 		i := u.next % len(u.addresses)
 		u.next++
-		task := mothferry.TaskID(fmt.Sprint("runner-", i))
+		task := runnerID(i)
 		if !q.Exclude[task] && ctx.Err() == nil {
 			u.out++
 			return &mfroute.Lease{Task: task, Address: u.addresses[i], Connections: 64}, nil
@@ -84,6 +87,11 @@
 	d.Requests.Deadline = time.Minute
 	d.Requests.Repeatable = []mfdocument.Repeatable{{Methods: []string{"GET"}, Path: "/safe"}}
 	store.AdoptDelta(mfsnapshot.Delta{Revision: 1, Records: []mfdocument.Record{{Document: d, Revision: 1}}})
+	placed := mfplacement.Record{DataCentre: "dc1", Pool: "general", Generation: 1}
+	for i := range addresses {
+		placed.Runners = append(placed.Runners, mfplacement.Runner{Task: runnerID(i), Service: "s", State: mfplacement.StateServing})
+	}
+	store.AdoptPlacement(placed)
 	router := &upstreams{addresses: addresses}
 	h := &Handler{
 		DataCentre: "dc1", Store: store, Router: router, Mesh: noMesh{}, Transports: &Transports{Connect: time.Minute, HeaderBytes: 1 << 16},
--- a/mfprocess/failure_test.go
+++ b/mfprocess/failure_test.go
@@ -279,6 +279,7 @@
 		if r.Time.After(since.Add(bound)) {
 			after++
 			if leaving[r.Runner] {
+				t.Logf("%s runs on %s, which leaves, %v after the bound", r.Request, r.Runner, r.Time.Sub(since.Add(bound)))
 				late++
 			}
 		}
