Change machines on a slow store as well, for as long as the head tells a successor

The bound kept a successor's calls for the same machine apart; but each commit tells in the head until when the machines that it names may be asked for, and a successor leaves these alone for as long. So the window is now twice what the last commit took, 0.5 s at the least and 2.5 s at the most, and the head tells it. On a store that is well nothing changes. Seen to fail before (it does not compile there; with the window fixed at 0.5 s): TestMachinesAreChangedOnASlowStore at commits of 0.65 s. Ruled out: that the lease guards it; it follows the looks of other hosts, which this one does not know.

--- a/mfowner/duty.go
+++ b/mfowner/duty.go
@@ -39,6 +39,8 @@
 
 // duties is what a session does with machines.
 type duties struct {
+	// window is how long after the commit under way was sent its calls may go out.
+	window  time.Duration
 	state   *mfduty.State
 	lives   mfduty.Lives
 	listing bool
@@ -181,7 +183,7 @@
 		e.Asked = asked
 		s.step(e)
 	}
-	if !s.mayChangeMachines(now) {
+	if !s.confirmedWithin(s.callWindow(), now) {
 		return
 	}
 	calls := s.duties.state.Plan(mfduty.Fleet{
--- a/mfowner/handover.go
+++ b/mfowner/handover.go
@@ -15,9 +15,13 @@
 // wait, so that pools follow the demand over a takeover.
 
 const (
-	// callWithin is how long after the last stored commit machines may be
-	// changed: below shortLease, so that no other host owns the shard by then.
-	callWithin = 500 * time.Millisecond
+	// callWithin is how long after the last stored commit was sent machines may be
+	// changed: below shortLease, so that no other host owns the shard by then. On a slow
+	// store it is slowCommits times what the last commit took, up to longestCallWithin:
+	// the head tells a successor of the longer time.
+	callWithin        = 500 * time.Millisecond
+	slowCommits       = 2
+	longestCallWithin = 2500 * time.Millisecond
 	// callTakes bounds a call: one that has no answer by then is given up, and its
 	// connection reset, so that it does not arrive later.
 	callTakes = 900 * time.Millisecond
@@ -66,13 +70,18 @@
 	return blocked
 }
 
-// mayChangeMachines reports whether this host may ask for changes of machines:
-// no other host can own the shard yet. Both the steady clock and the time of day
-// have to agree, as the steady clock stands still while a host is suspended.
-func (s *session) mayChangeMachines(now time.Time) bool {
+// callWindow is how long after the next commit is sent the calls that wait for it may go out.
+func (s *session) callWindow() time.Duration {
+	return min(longestCallWithin, max(callWithin, slowCommits*s.took))
+}
+
+// confirmedWithin reports whether the last commit that is stored was sent less than a while
+// ago. Both the steady clock and the time of day have to agree, as the steady clock
+// stands still while a host is suspended.
+func (s *session) confirmedWithin(d time.Duration, now time.Time) bool {
 	steady := now.Sub(s.confirmed)
 	wall := now.Round(0).Sub(s.confirmed.Round(0))
-	return max(steady, wall) < callWithin
+	return max(steady, wall) < d
 }
 
 // inherit takes over the former owner's calls, for a successor of this one.
@@ -84,10 +93,11 @@
 }
 
 // calledAgo returns how long ago machines were asked for, for the head. Calls
-// that wait for this commit may go out until callWithin after it.
+// that wait for this commit may go out until the end of its window.
 func (s *session) calledAgo(now time.Time) map[mothferry.MachineID]time.Duration {
+	s.duties.window = s.callWindow()
 	for _, c := range s.duties.waiting {
-		s.duties.called[c.Machine] = now.Add(callWithin)
+		s.duties.called[c.Machine] = now.Add(s.duties.window)
 		delete(s.duties.calledBy, c.Machine)
 	}
 	ago := map[mothferry.MachineID]time.Duration{}
@@ -106,7 +116,7 @@
 // came too late another host may own the shard, and nothing is asked for.
 func (s *session) releaseCalls(now time.Time) {
 	for _, c := range s.duties.releasing {
-		if !s.mayChangeMachines(now) {
+		if !s.confirmedWithin(s.duties.window, now) {
 			s.owner.Log.WithField("machine", c.Machine).WithField("commit_age_ms", now.Sub(s.confirmed).Milliseconds()).Info("machine is not asked for, the commit took too long")
 			s.duties.state.Answered(c, mfduty.AnswerRefused, now)
 			continue
--- a/mfowner/handover_test.go
+++ b/mfowner/handover_test.go
@@ -68,3 +68,24 @@
 	successor := formerCalls{lastCommit: now, own: "h-1", head: head, ago: head.Called}
 	assert.DeepEqual(t, successor.blocked(now.Add(time.Second), o.handOver()), map[mothferry.MachineID]bool{"m": true})
 }
+
+// Machines must follow the demand on a slow store too, and a successor must leave them alone for as much longer.
+func TestMachinesAreChangedOnASlowStore(t *testing.T) {
+	sent := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	o := &Owner{Daemon: "h-1", MachineHandOver: 3 * time.Second}
+	for _, takes := range []time.Duration{10 * time.Millisecond, 650 * time.Millisecond, 1200 * time.Millisecond} {
+		s := &session{owner: o, duties: newDuties(), confirmed: sent, took: takes}
+		s.duties.waiting = []mfduty.Call{{Machine: "m"}}
+		head := mfrecord.Head{Holder: "h-1", Called: s.calledAgo(sent)}
+		stored := sent.Add(takes)
+		assert.Assert(t, s.confirmedWithin(s.duties.window, stored), "commits of %v", takes)
+		latest := sent.Add(s.duties.window)
+		assert.Assert(t, !s.confirmedWithin(s.duties.window, latest))
+		f := formerCalls{lastCommit: sent, own: "h-2", head: head, ago: head.Called}
+		free := latest.Add(callTakes + o.MachineHandOver)
+		assert.Equal(t, len(f.blocked(free, o.handOver())), 1, "commits of %v", takes)
+		assert.Equal(t, len(f.blocked(free.Add(handOverMargin), o.handOver())), 0, "commits of %v", takes)
+	}
+	stuck := &session{owner: o, took: time.Minute}
+	assert.Equal(t, stuck.callWindow(), longestCallWithin)
+}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -45,8 +45,9 @@
 	former formerCalls
 	// confirmed is when the last commit of this owner that is stored was sent.
 	confirmed time.Time
-	// sent is when the commit under way was sent.
+	// sent is when the commit under way was sent, took how long the last one that is stored took.
 	sent time.Time
+	took time.Duration
 	// written brings the result of the commit under way.
 	written  chan error
 	inFlight bool
@@ -139,8 +140,8 @@
 				return err
 			}
 			s.inFlight = false
-			s.confirmed = s.sent
-			s.account.committed(s.owner.Clock.Now().Sub(s.sent))
+			s.confirmed, s.took = s.sent, s.owner.Clock.Now().Sub(s.sent)
+			s.account.committed(s.took)
 			s.releaseCalls(s.owner.Clock.Now())
 			s.step(mfsched.CommitDone{Number: s.number})
 		case e := <-s.events:
