Let the emulator's owners store rows and read them through mfjournal

Now an owner writes through mfjournal.Write, each commit checks and rewrites the head in an mfstandin.Rows, and a successor reads through mfjournal.Read, by versions. What callers see follows the jobs' own rows. The map of what was committed stays for the checks alone. A transaction beyond the store's 100 entries is a finding.

--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -206,7 +206,7 @@
 	for _, id := range w.order {
 		c := w.jobs[id]
 		if !c.submission.Lasts() && !c.state.Final() {
-			out = append(out, fmt.Sprintf("job %s, cancelled %v: %+v", id, !c.cancelled.IsZero(), w.progress[id]))
+			out = append(out, fmt.Sprintf("job %s, cancelled %v: %+v", id, !c.cancelled.IsZero(), w.committed[id]))
 		}
 	}
 	return out
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -9,6 +9,7 @@
 	"mothferry"
 	"mothferry/mfduty"
 	"mothferry/mfjob"
+	"mothferry/mfjournal"
 	"mothferry/mfsched"
 )
 
@@ -19,6 +20,9 @@
 	duty  *mfduty.State
 	lives mfduty.Lives
 	epoch mothferry.Epoch
+	// version is that of the shard's head when this owner last wrote it.
+	version mothferry.Version
+	journal *mfjournal.Journal
 	// dead owners do nothing more; frozen ones keep what reaches them for later.
 	dead   bool
 	frozen bool
@@ -35,10 +39,11 @@
 	w.Figures.Takeovers++
 	o := &owner{world: w, epoch: w.epoch, state: mfsched.New(w.Limits, w.epoch, w.now, w.now.Add(w.Limits.LeaseTail())), duty: mfduty.New(), taken: w.now}
 	w.owner = o
+	progress := o.inherit()
 	o.step(mfsched.ConfigChanged{Queues: w.Queues, Accounts: w.Accounts})
 	for _, id := range w.order {
 		c := w.jobs[id]
-		p, known := w.progress[id]
+		p, known := progress[id]
 		if known && p.State.Final() {
 			o.step(mfsched.JobOver{Job: id, State: p.State})
 		}
@@ -121,7 +126,8 @@
 	switch v := c.(type) {
 	case mfsched.Commit:
 		w.Figures.Commits++
-		w.after(commitDelay, func() { o.commit(v) })
+		rows := o.journal.Write(v.Progress)
+		w.after(commitDelay, func() { o.commit(v, rows) })
 	case mfsched.Start:
 		w.Figures.Starts++
 		sent := w.now
@@ -149,34 +155,11 @@
 	}
 }
 
-// commit stores progress if the shard is still this owner's.
-func (o *owner) commit(c mfsched.Commit) {
-	w := o.world
-	if o.cut {
-		// No answer: the owner goes on asking, in vain.
-		return
-	}
-	if o.epoch != w.epoch {
-		o.dead = true
-		return
-	}
-	for id, p := range c.Progress {
-		w.progress[id] = p
-		w.note(id, p.State)
-	}
-	o.confirmed = w.now
-	delay := commitDelay / 2
-	if w.chance(w.Faults.LoseCommit) {
-		delay += callTimeout
-	}
-	w.after(delay, func() { o.do(func() { o.step(mfsched.CommitDone{Number: c.Number}) }) })
-}
-
 // drop deletes what was handed in for jobs. The owner need not be one any more: the
 // deletion checks nothing.
 func (w *World) drop(jobs []mothferry.JobID) {
 	for _, id := range jobs {
-		if !w.progress[id].State.Final() {
+		if !w.committed[id].State.Final() {
 			w.broken("what was handed in for job %s is deleted, its end is not stored", id)
 		}
 		w.jobs[id].dropped = true
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -272,7 +272,7 @@
 
 // noted reports whether the store knows that a task is done.
 func (w *World) noted(name mothferry.TaskName) bool {
-	p, ok := w.progress[name.Job]
+	p, ok := w.committed[name.Job]
 	if !ok || name.Occurrence >= len(p.Occurrences) {
 		return ok && p.State == mfjob.StateCompleted
 	}
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -3,6 +3,8 @@
 // mfduty) run against it, so that a change of policy is measured in a second
 // and thousands of seeded histories of faults are played in a test.
 //
+// Owners store progress in rows and read it as the real owner does (mfjournal).
+//
 // The model keeps to what the platform promises of workers: fencing by epoch,
 // leases by the worker's own clock, ends that are listed until they are noted,
 // orders that are lost, answered late, or carried out late. A checker watches
@@ -18,6 +20,7 @@
 	"mothferry"
 	"mothferry/mfjob"
 	"mothferry/mfsched"
+	"mothferry/mfstandin"
 )
 
 // Epoch0 is when simulated time begins.
@@ -75,11 +78,14 @@
 	sequence int
 	owner    *owner
 	epoch    mothferry.Epoch
-	// progress is what the store holds of each job.
-	progress map[mothferry.JobID]mfjob.Progress
-	jobs     map[mothferry.JobID]*caller
-	order    []mothferry.JobID
-	workers  map[mothferry.WorkerID]*worker
+	// rows is the store.
+	rows mfstandin.Rows
+	// committed is what was last stored of each job. It is for the checks alone: owners
+	// read the rows.
+	committed map[mothferry.JobID]mfjob.Progress
+	jobs      map[mothferry.JobID]*caller
+	order     []mothferry.JobID
+	workers   map[mothferry.WorkerID]*worker
 	// begun holds the workers that ever began a task.
 	begun    map[mothferry.TaskName][]*worker
 	machines []*machine
@@ -138,6 +144,8 @@
 	Commits   int
 	Refused   int
 	Takeovers int
+	// EmptyLogs counts the takeovers that found no row in the log of progress.
+	EmptyLogs int
 	// Crashing counts the jobs that have a task that ends its workers, Crashes the
 	// workers that ended so, Blameless the jobs shown as failed without such a task.
 	Crashing  int
@@ -196,7 +204,7 @@
 // Begin prepares the world. Its first owner takes over at once.
 func (w *World) Begin() {
 	w.now = Epoch0
-	w.progress = map[mothferry.JobID]mfjob.Progress{}
+	w.committed = map[mothferry.JobID]mfjob.Progress{}
 	w.jobs = map[mothferry.JobID]*caller{}
 	w.workers = map[mothferry.WorkerID]*worker{}
 	w.begun = map[mothferry.TaskName][]*worker{}
