Check in the drawn histories that no order ends a lasting task while others of its step are away

The histories checked that nothing runs twice, but not the users' rule AVAIL: nothing counted what is away when a stop, a move or an upkeep ends a lasting task with may_miss, nor a lease that lapses without a fault near. Now each such end is compared with the others of its step: ended so, or not at work for the time after which users notice. Excepted are what the rule excepts: cancelled jobs, orders that the worker held back, workers that nothing reaches.

So the model has upkeep in waves, and a kind of histories has lasting jobs on machines that go down for it.

--- a/mfemulate/account_test.go
+++ b/mfemulate/account_test.go
@@ -51,7 +51,7 @@
 
 // accountHistory plays a history in which jobs belong to accounts.
 func accountHistory(seed uint64, r *rand.Rand) *mfemulate.World {
-	return newHistory(seed, historyKind{accounts: true, further: func(*mfemulate.Faults) {}, prepare: func(w *mfemulate.World) {
+	return newHistory(seed, historyKind{accounts: true, jobs: usualJobs, further: func(*mfemulate.Faults) {}, prepare: func(w *mfemulate.World) {
 		w.Accounts = accounts(r)
 		for range r.IntN(4) {
 			at := time.Second + time.Duration(r.Int64N(int64(20*time.Second)))
--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -70,6 +70,9 @@
 // end ends a life: all that it ran is gone.
 func (w *World) end(m *machine) {
 	k := w.workers[m.life]
+	for _, name := range k.names() {
+		w.leave(k, name)
+	}
 	k.over = true
 	k.running = map[mothferry.TaskName]*run{}
 	k.breakLooks()
@@ -103,7 +106,7 @@
 	if !there {
 		return
 	}
-	k.silent = true
+	k.silent, k.silentUntil = true, w.now.Add(d)
 	w.after(d, func() { k.silent = false })
 }
 
@@ -127,7 +130,7 @@
 			e.Asked = w.now
 			o.step(e)
 		}
-		if !w.Moves || w.now.Sub(o.taken) < handOver || w.now.Sub(o.confirmed) > callWithin {
+		if !w.Moves && len(w.waves) == 0 || w.now.Sub(o.taken) < handOver || w.now.Sub(o.confirmed) > callWithin {
 			return
 		}
 		calls := o.duty.Plan(mfduty.Fleet{Machines: machines, Loads: o.state.Loads(), Demands: o.state.Demands(w.now), Standby: w.Standby}, w.now)
@@ -151,16 +154,51 @@
 	if m.state != mothferry.MachineUp {
 		return mfduty.AnswerRefused
 	}
-	w.Figures.Moves++
+	k := w.workers[m.life]
+	for _, name := range k.names() {
+		w.endByOrder(k, name, "move")
+	}
 	w.end(m)
-	m.state, m.life = mothferry.MachineMoving, ""
-	if c.Kind == mfduty.KindMove {
-		m.pool = c.Pool
+	m.life = ""
+	if c.Kind == mfduty.KindUpkeep {
+		w.Figures.Upkeeps++
+		w.waves[c.Wave].done = append(w.waves[c.Wave].done, m.id)
+		m.state = mothferry.MachineUpkeep
+		w.after(upkeepTakes, func() { w.live(m) })
+		return mfduty.AnswerDone
 	}
+	w.Figures.Moves++
+	m.state, m.pool = mothferry.MachineMoving, c.Pool
 	w.after(moveTakes, func() { w.live(m) })
 	return mfduty.AnswerDone
 }
 
+// wave is upkeep that is asked for, and on which machines it was done.
+type wave struct {
+	asked mfsched.Wave
+	begun time.Time
+	done  []mothferry.MachineID
+}
+
+// Upkeep asks for the upkeep of some machines within a time, so many of them at once.
+func (w *World) Upkeep(indexes []int, within time.Duration, atOnce int) {
+	id := mothferry.WaveID(len(w.waves) + 1)
+	v := &wave{asked: mfsched.Wave{Wave: id, Within: within, AtOnce: atOnce}, begun: w.now}
+	for _, i := range indexes {
+		v.asked.Machines = append(v.asked.Machines, w.machines[i%len(w.machines)].id)
+	}
+	w.waves[id] = v
+	w.owner.do(func() { w.owner.duty.Ask(v.asked, w.now) })
+}
+
+// askedUpkeep takes in the waves that are known at a takeover.
+func (o *owner) askedUpkeep() {
+	for id, v := range o.world.waves {
+		o.duty.Restore(id, v.begun, v.done)
+		o.duty.Ask(v.asked, o.world.now)
+	}
+}
+
 // Submit hands a job in.
 func (w *World) Submit(s mfjob.Submission) mothferry.JobID {
 	id := mothferry.JobID(fmt.Sprintf("%016x", len(w.order)+1))
@@ -168,7 +206,7 @@
 	w.order = append(w.order, id)
 	c := &caller{
 		id: id, submission: s, state: mfjob.StateQueued, done: map[mothferry.TaskName]bool{},
-		crashes: map[mothferry.TaskName]int{}, failures: map[mothferry.TaskName]int{},
+		crashes: map[mothferry.TaskName]int{}, failures: map[mothferry.TaskName]int{}, left: map[mothferry.TaskName]departure{},
 	}
 	if w.chance(w.Faults.CrashJob) {
 		w.Figures.Crashing++
--- a/mfemulate/history_test.go
+++ b/mfemulate/history_test.go
@@ -97,6 +97,7 @@
 func sameIDHistory(seed uint64) *mfemulate.World {
 	r := rand.New(rand.NewPCG(seed, 5))
 	return newHistory(seed, historyKind{
+		jobs:    usualJobs,
 		further: func(f *mfemulate.Faults) { f.SameID = 0.8 },
 		prepare: func(w *mfemulate.World) {
 			for range 3 + r.IntN(12) {
@@ -114,7 +115,7 @@
 
 // faultHistory plays the history of a seed with further faults.
 func faultHistory(seed uint64, further func(*mfemulate.Faults)) *mfemulate.World {
-	return newHistory(seed, historyKind{further: further, prepare: func(*mfemulate.World) {}})
+	return newHistory(seed, historyKind{jobs: usualJobs, further: further, prepare: func(*mfemulate.World) {}})
 }
 
 // historyKind is what a history has beside the faults that all have.
@@ -123,8 +124,15 @@
 	prepare func(*mfemulate.World)
 	// accounts says that three of four jobs belong to client accounts.
 	accounts bool
+	// jobs is how many jobs are handed in that do not last.
+	jobs int
+	// ownLasting says that prepare hands the lasting jobs in.
+	ownLasting bool
 }
 
+// usualJobs are so many that the log of progress is seldom empty at a takeover.
+const usualJobs = 60
+
 // newHistory plays the history of a seed.
 func newHistory(seed uint64, kind historyKind) *mfemulate.World {
 	r := rand.New(rand.NewPCG(seed, 1))
@@ -143,7 +151,7 @@
 	kind.prepare(w)
 	const busy = 20 * time.Second
 	at := func() time.Duration { return time.Second + time.Duration(r.Int64N(int64(busy))) }
-	for range 60 {
+	for range kind.jobs {
 		s := job(r, "qa", "a")
 		if r.IntN(2) == 0 {
 			s = job(r, "qb", "b")
@@ -163,7 +171,9 @@
 	if kind.accounts {
 		lasts.Account = "x"
 	}
-	w.At(500*time.Millisecond, func() { w.Submit(lasts) })
+	if !kind.ownLasting {
+		w.At(500*time.Millisecond, func() { w.Submit(lasts) })
+	}
 	for range r.IntN(3) {
 		w.At(at(), func() { w.Kill(1700 * time.Millisecond) })
 	}
--- /dev/null
+++ b/mfemulate/lasting_test.go
@@ -0,0 +1,69 @@
+package mfemulate_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mothferry"
+	"mothferry/mfemulate"
+	"mothferry/mfjob"
+)
+
+// Emptying machines for upkeep must not end a lasting task while others of its step are away.
+func TestHistoriesWithUpkeep(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		checkLasting(t, upkeepHistory(rapid.Uint64().Draw(t, "seed")))
+	})
+}
+
+func checkLasting(t *rapid.T, w *mfemulate.World) {
+	assert.Equal(t, len(w.Broken), 0, "%v", w.Broken)
+	assert.Equal(t, w.Unfinished(), 0, "jobs without an end: %v", w.Describe())
+}
+
+// upkeepHistory plays a history in which machines with lasting tasks go down for upkeep.
+func upkeepHistory(seed uint64) *mfemulate.World {
+	r := rand.New(rand.NewPCG(seed, 13))
+	return newHistory(seed, historyKind{
+		jobs: 3 + r.IntN(20), ownLasting: true,
+		further: func(*mfemulate.Faults) {},
+		prepare: func(w *mfemulate.World) {
+			submitLasting(w, r)
+			for range 1 + r.IntN(2) {
+				at, within, atOnce := drawMoment(r), 5*time.Second+time.Duration(r.Int64N(int64(30*time.Second))), 1+r.IntN(4)
+				machines := r.Perm(10)[:3+r.IntN(8)]
+				w.At(at, func() { w.Upkeep(machines, within, atOnce) })
+			}
+		},
+	})
+}
+
+func drawMoment(r *rand.Rand) time.Duration {
+	return time.Second + time.Duration(r.Int64N(int64(20*time.Second)))
+}
+
+// submitLasting hands some lasting jobs in, half of which are cancelled later.
+func submitLasting(w *mfemulate.World, r *rand.Rand) {
+	for range 1 + r.IntN(4) {
+		s := lasting("qa", "a")
+		if r.IntN(2) == 0 {
+			s = lasting("qb", "b")
+		}
+		s.Steps[0] = mfjob.Step{
+			Count: 2 + r.IntN(4), Need: mothferry.Resources{Cores: 1500, Memory: mothferry.Gibibyte}, Estimate: 500 * time.Millisecond,
+			Lasting: true, PerWorker: 1 + r.IntN(2), MayMiss: 1 + r.IntN(2),
+		}
+		cancelled, lasts := r.IntN(2) == 0, drawMoment(r)
+		w.At(drawMoment(r), func() {
+			id := w.Submit(s)
+			if cancelled {
+				w.At(w.Now()+lasts, func() { w.Cancel(id) })
+			}
+		})
+	}
+}
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -65,6 +65,7 @@
 			o.step(mfsched.WorkerListed{Worker: v.listing})
 		}
 	}
+	o.askedUpkeep()
 	o.tick()
 	o.duties()
 }
@@ -72,6 +73,7 @@
 // Kill ends the owner at once; another one takes over a while later.
 func (w *World) Kill(vacant time.Duration) {
 	w.owner.dead = true
+	w.faultUntil(w.now.Add(vacant))
 	w.after(vacant, w.TakeOver)
 }
 
@@ -80,6 +82,7 @@
 func (w *World) Freeze(vacant, frozen time.Duration) {
 	o := w.owner
 	o.frozen = true
+	w.faultUntil(w.now.Add(max(vacant, frozen)))
 	w.after(vacant, w.TakeOver)
 	w.after(frozen, func() {
 		o.frozen = false
@@ -94,6 +97,7 @@
 // Cut parts the owner from the store, but not from workers; another one takes over.
 func (w *World) Cut(vacant time.Duration) {
 	w.owner.cut = true
+	w.faultUntil(w.now.Add(vacant))
 	w.after(vacant, w.TakeOver)
 }
 
--- a/mfemulate/seed_test.go
+++ b/mfemulate/seed_test.go
@@ -66,3 +66,13 @@
 	assert.Equal(t, len(w.Broken), 0, "%v (once: an entry ended a life whose successor had taken orders meant for it)", w.Broken)
 	assert.Equal(t, w.Unfinished(), 0)
 }
+
+// Seeds of histories with upkeep that failed while nothing kept lasting tasks from being stopped.
+func TestKeptUpkeepSeeds(t *testing.T) {
+	for _, seed := range []uint64{0x7e, 0xa41c3f, 0x2} {
+		w := upkeepHistory(seed)
+		assert.Assert(t, w.Figures.Upkeeps > 0)
+		assert.Equal(t, len(w.Broken), 0, "%v", w.Broken)
+		assert.Equal(t, w.Unfinished(), 0)
+	}
+}
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -18,6 +18,8 @@
 	// over says that this life has ended; silent that nothing reaches it.
 	over   bool
 	silent bool
+	// silentUntil is when the last silence ended or is to end.
+	silentUntil time.Time
 	// began is when it started: its clock begins then.
 	began time.Time
 	// speed of its clock against true time, at most 2% slow.
@@ -41,6 +43,8 @@
 	takes    time.Duration
 	fails    bool
 	stopping bool
+	// ordered says that an order ends it, or a lease that lapsed without a fault near.
+	ordered bool
 	// ended marks a run that is over, for events that are still to come.
 	ended bool
 }
@@ -75,6 +79,9 @@
 
 func (o *worker) endAll(cause mothferry.EndCause) {
 	for _, name := range o.names() {
+		if cause == mothferry.EndLapsed && !o.world.faultNear(o) {
+			o.world.endByOrder(o, name, "lease that lapsed")
+		}
 		o.end(name, cause)
 	}
 }
@@ -92,6 +99,7 @@
 
 // end ends a run and lists that.
 func (o *worker) end(name mothferry.TaskName, cause mothferry.EndCause) {
+	o.world.leave(o, name)
 	r := o.running[name]
 	r.ended = true
 	delete(o.running, name)
@@ -220,6 +228,7 @@
 	if !there || r.number != number || r.stopping {
 		return nil
 	}
+	o.world.endByOrder(o, name, "stop")
 	r.stopping = true
 	o.world.after(stopTakes, func() {
 		if !r.ended && !o.over {
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -8,7 +8,7 @@
 // The model keeps to what the platform promises of workers: fencing by epoch,
 // leases by the worker's own clock, ends that are listed until they are noted,
 // orders that are lost, answered late, or carried out late. A checker watches
-// every start; what it finds is a fault of the decisions.
+// every start and each end by an order; what it finds is a fault of the decisions.
 package mfemulate
 
 import (
@@ -48,6 +48,11 @@
 	SameID float64
 }
 
+// ofCalls reports whether calls may go wrong.
+func (f Faults) ofCalls() bool {
+	return f.LoseOrder > 0 || f.LoseAnswer > 0 || f.LateOrder > 0 || f.LoseCommit > 0
+}
+
 // Times of the model, as the platform's pages and bench days show them.
 const (
 	orderDelay  = 1500 * time.Microsecond
@@ -57,7 +62,9 @@
 	stopTakes   = 300 * time.Millisecond
 	dutyEvery   = 150 * time.Millisecond
 	moveTakes   = 1500 * time.Millisecond
+	upkeepTakes = 2 * time.Second
 	listLag     = 150 * time.Millisecond
+	sampleEvery = 500 * time.Millisecond
 )
 
 // World is the whole model. The exported fields are set before Run.
@@ -89,11 +96,14 @@
 	// begun holds the workers that ever began a task.
 	begun    map[mothferry.TaskName][]*worker
 	machines []*machine
+	waves    map[mothferry.WaveID]*wave
 	lives    int
 	// limits holds what each account may have running by any config that may be in force.
 	limits map[mothferry.AccountID]mothferry.Resources
 	// changes counts the changes of the accounts.
 	changes int
+	// faulty is until when a fault acts on owners.
+	faulty time.Time
 	// late says that an order is carried out that its worker has held back.
 	late bool
 	// Figures is filled while the world runs.
@@ -113,6 +123,8 @@
 	state      mfjob.State
 	// dropped says that what was handed in is deleted.
 	dropped bool
+	// left tells how lasting tasks were last at work that are away.
+	left map[mothferry.TaskName]departure
 	// done holds tasks of which a run has done its work.
 	done map[mothferry.TaskName]bool
 	// crashing is the task that ends each worker that starts it, if there is one.
@@ -138,6 +150,7 @@
 	Worth     float64
 	Wide      float64
 	Moves     int
+	Upkeeps   int
 	Starts    int
 	Looks     int
 	Stops     int
@@ -207,13 +220,14 @@
 	w.committed = map[mothferry.JobID]mfjob.Progress{}
 	w.jobs = map[mothferry.JobID]*caller{}
 	w.workers = map[mothferry.WorkerID]*worker{}
+	w.waves = map[mothferry.WaveID]*wave{}
 	w.begun = map[mothferry.TaskName][]*worker{}
 	w.limits = map[mothferry.AccountID]mothferry.Resources{}
 	for id, a := range w.Accounts {
 		w.limits[id] = a.Most
 	}
 	w.TakeOver()
-	w.every(500*time.Millisecond, w.sample)
+	w.every(sampleEvery, w.sample)
 }
 
 // Now returns the simulated time since the beginning.
@@ -253,8 +267,11 @@
 	w.Broken = append(w.Broken, fmt.Sprintf("%v: ", w.Now())+fmt.Sprintf(format, values...))
 }
 
-// sample takes a point for the plot and counts machine time.
+// sample takes a point for the plot, counts machine time and notes faults of calls.
 func (w *World) sample() {
+	if w.Faults.ofCalls() {
+		w.faultUntil(w.now.Add(sampleEvery))
+	}
 	p := Point{At: w.Now(), Machines: map[mothferry.ServiceID]int{}}
 	for _, m := range w.machines {
 		p.Machines[m.pool]++
