--- a/mfemulate/history_test.go
+++ b/mfemulate/history_test.go
@@ -192,7 +192,7 @@
 		w.At(at(), func() { w.Silence(i, d) })
 	}
 	w.At(busy+8*time.Second, func() {
-		w.Faults = mfemulate.Faults{CrashAfter: faults.CrashAfter, CrashDown: faults.CrashDown, SameID: faults.SameID}
+		w.Faults = mfemulate.Faults{CrashAfter: faults.CrashAfter, CrashDown: faults.CrashDown, SameID: faults.SameID, LastingFor: faults.LastingFor}
 	})
 	w.Run(busy + 60*time.Second)
 	return w
--- a/mfemulate/lasting_test.go
+++ b/mfemulate/lasting_test.go
@@ -13,6 +13,14 @@
 	"mothferry/mfjob"
 )
 
+// A successor must not go back to older progress of lasting tasks after the log was empty.
+func TestHistoriesWithManyTakeovers(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		checkLasting(t, takeoverHistory(rapid.Uint64().Draw(t, "seed")))
+	})
+}
+
 // Emptying machines for upkeep must not end a lasting task while others of its step are away.
 func TestHistoriesWithUpkeep(t *testing.T) {
 	t.Parallel()
@@ -26,6 +34,30 @@
 	assert.Equal(t, w.Unfinished(), 0, "jobs without an end: %v", w.Describe())
 }
 
+// takeoverHistory plays a history in which the log of progress is often empty at a takeover.
+func takeoverHistory(seed uint64) *mfemulate.World {
+	r := rand.New(rand.NewPCG(seed, 11))
+	return newHistory(seed, historyKind{
+		jobs: 2 + r.IntN(7), ownLasting: true,
+		further: func(f *mfemulate.Faults) {
+			f.LastingFor = 2*time.Second + time.Duration(r.Int64N(int64(20*time.Second)))
+		},
+		prepare: func(w *mfemulate.World) {
+			submitLasting(w, r)
+			for at := time.Second; at < 25*time.Second; {
+				at += 500*time.Millisecond + time.Duration(r.Int64N(int64(4*time.Second)))
+				vacant := 200*time.Millisecond + time.Duration(r.Int64N(int64(2*time.Second)))
+				loss := []func(){
+					func() { w.Kill(vacant) },
+					func() { w.Freeze(vacant, vacant+2*time.Second) },
+					func() { w.Cut(vacant) },
+				}[r.IntN(3)]
+				w.At(at, loss)
+			}
+		},
+	})
+}
+
 // upkeepHistory plays a history in which machines with lasting tasks go down for upkeep.
 func upkeepHistory(seed uint64) *mfemulate.World {
 	r := rand.New(rand.NewPCG(seed, 13))
--- a/mfemulate/seed_test.go
+++ b/mfemulate/seed_test.go
@@ -67,6 +67,16 @@
 	assert.Equal(t, w.Unfinished(), 0)
 }
 
+// Seeds of histories with many takeovers that once failed.
+func TestKeptTakeoverSeeds(t *testing.T) {
+	for _, seed := range []uint64{0x4c93400c2a1b6f48, 0xa41c3f, 0x10cd45e9} {
+		w := takeoverHistory(seed)
+		assert.Assert(t, w.Figures.EmptyLogs > 1, "the log was never empty after the first takeover")
+		assert.Equal(t, len(w.Broken), 0, "%v (once: rows of the log counted as older than own rows that they followed, after the log was empty)", w.Broken)
+		assert.Equal(t, w.Unfinished(), 0)
+	}
+}
+
 // Seeds of histories with upkeep that failed while nothing kept lasting tasks from being stopped.
 func TestKeptUpkeepSeeds(t *testing.T) {
 	for _, seed := range []uint64{0x7e, 0xa41c3f, 0x2} {
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -191,12 +191,21 @@
 	r := &run{number: order.Run, step: step, begun: o.world.now, takes: takes, fails: o.world.chance(o.world.Faults.FailTask)}
 	o.running[order.Task] = r
 	o.world.crashLater(o, order.Task)
-	if !step.Lasting {
-		o.world.after(takes, func() { o.finish(order.Task, r) })
-	}
+	o.world.endLater(o, order.Task, r)
 	return nil
 }
 
+// endLater has a run end by itself. A lasting one fails if it does.
+func (w *World) endLater(o *worker, name mothferry.TaskName, r *run) {
+	switch {
+	case !r.step.Lasting:
+		w.after(r.takes, func() { o.finish(name, r) })
+	case w.Faults.LastingFor > 0:
+		r.fails = true
+		w.after(time.Duration(w.Random.ExpFloat64()*float64(w.Faults.LastingFor)), func() { o.finish(name, r) })
+	}
+}
+
 func (o *worker) finish(name mothferry.TaskName, r *run) {
 	if r.ended || o.over {
 		return
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -44,6 +44,9 @@
 	CrashJob   float64
 	CrashAfter time.Duration
 	CrashDown  time.Duration
+	// LastingFor is for how long a lasting run goes on, in the mean, before it fails by itself;
+	// zero for ever.
+	LastingFor time.Duration
 	// SameID: a worker starts again under the id that it had.
 	SameID float64
 }
