Count after a takeover what the ending runs of jobs take whose end is stored

Trace: an owner stores that a job is cancelled and tells its three runs to stop; another owner takes over within the 0.3 s that they take to end. It knows of the job that it is over, and no more: its runs are strays of which it knows neither the room nor the account, and 30 ms after the takeover it starts others beside them. The same holds for the room of their worker, which only those workers guard that refuse what does not fit (rule LIMIT). Mended: what was handed in outlives a job's end by 4 s in the store, and the successor reads it anyway; it now comes with the end, so that strays count as they do for the owner that ended the job. Class: what an owner still owes is told by memory that a takeover loses. Not covered: runs of such a job on a worker that no owner reaches for more than the 4 s.

--- a/mfemulate/seed_test.go
+++ b/mfemulate/seed_test.go
@@ -52,6 +52,7 @@
 		{0x50f1c, "the checker took the limits of a newer change for those of an older one"},
 		{0x3, "limits stayed under which the backlog can't end"},
 		{0x29, "the model's owner adopted an older config after a newer one"},
+		{0x244845, "a successor did not count runs that were ending of a job whose cancel was stored"},
 		{0x2d, "starts decided before a limit was lowered were ordered again after it"},
 	} {
 		w := accountHistory(k.seed, rand.New(rand.NewPCG(k.seed, 3)))
--- a/mfowner/follow.go
+++ b/mfowner/follow.go
@@ -40,11 +40,11 @@
 		if !ok {
 			continue
 		}
+		submission, err := mfjob.DecodeSubmission(r.Value)
 		if p := s.progress[id]; p != nil && p.State.Final() {
-			s.post(mfsched.JobOver{Job: id, State: p.State})
+			s.post(mfsched.JobOver{Job: id, State: p.State, Submission: submission})
 			continue
 		}
-		submission, err := mfjob.DecodeSubmission(r.Value)
 		if err != nil {
 			s.owner.Log.WithError(err).WithField("job", id).Error("stored job can't be read")
 			continue
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -47,6 +47,8 @@
 type JobOver struct {
 	Job   mothferry.JobID
 	State mfjob.State
+	// Submission is what was handed in, if it is still stored: runs of the job may yet be ending.
+	Submission mfjob.Submission
 }
 
 // JobsForgotten says whether the rows of jobs that are to be forgotten are deleted.
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -10,11 +10,11 @@
 
 func (s *State) found(e JobFound, now time.Time) {
 	if known, ok := s.jobs[e.Job]; ok {
-		s.handedInAgain(known, now)
+		s.handedInAgain(known, e.Submission, now)
 		return
 	}
 	if e.Progress != nil && e.Progress.State.Final() {
-		s.jobOver(JobOver{Job: e.Job, State: e.Progress.State}, now)
+		s.jobOver(JobOver{Job: e.Job, State: e.Progress.State, Submission: e.Submission}, now)
 		return
 	}
 	j := &job{id: e.Job, submission: e.Submission, state: mfjob.StateQueued, chain: e.Submission.Chain(), account: s.accountOf(e.Submission.Account)}
--- a/mfsched/over.go
+++ b/mfsched/over.go
@@ -32,18 +32,28 @@
 // jobOver takes in a job whose end an earlier owner stored.
 func (s *State) jobOver(e JobOver, now time.Time) {
 	if known, ok := s.jobs[e.Job]; ok {
-		s.handedInAgain(known, now)
+		s.handedInAgain(known, e.Submission, now)
 		return
 	}
 	j := &job{id: e.Job, state: e.State, over: now, stored: true}
 	s.jobs[e.Job] = j
 	s.ended = append(s.ended, j)
+	s.learn(j, e.Submission)
+}
+
+// learn keeps what was handed in for a job that an earlier owner ended: it tells what
+// those of its runs take that are still ending.
+func (s *State) learn(j *job, handedIn mfjob.Submission) {
+	if len(j.submission.Steps) == 0 {
+		j.submission, j.account = handedIn, s.accountOf(handedIn.Account)
+	}
 }
 
 // handedInAgain handles a row in the inbox of a job that is known. If its end is
-// stored the row is of no use.
-func (s *State) handedInAgain(j *job, now time.Time) {
+// stored the row is of no other use.
+func (s *State) handedInAgain(j *job, handedIn mfjob.Submission, now time.Time) {
 	if j.stored {
+		s.learn(j, handedIn)
 		s.dropping = append(s.dropping, droppable{job: j, since: now})
 	}
 }
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -127,14 +127,15 @@
 }
 
 // stopStray ends a run that should not be there: its job is over, or its task
-// was given up on this worker. What it takes is not known if its job is not known any more.
+// was given up on this worker. What it takes is known as long as what was handed in for its job is.
 func (s *State) stopStray(w *worker, r strayRun, now time.Time) {
 	if now.Sub(w.stray[r].told) < stopRetry {
 		return
 	}
 	stop := strayStop{told: now}
-	if t := s.lookUp(r.task); t != nil {
-		stop.room, stop.need, stop.account = t.step.of.Room(), t.step.of.Need, t.job.account
+	if j, known := s.jobs[r.task.Job]; known && r.task.Step < len(j.submission.Steps) {
+		of := &j.submission.Steps[r.task.Step]
+		stop.room, stop.need, stop.account = of.Room(), of.Need, j.account
 	}
 	w.stray[r] = stop
 	s.emit(Stop{At: w.at, Task: r.task, Run: r.run})
--- a/mfsched/takeover_test.go
+++ b/mfsched/takeover_test.go
@@ -154,3 +154,32 @@
 	pending, _ := s.state.Pending()
 	assert.Equal(t, pending[queue], 0)
 }
+
+// A successor must not start more beside the ending runs of a job whose cancel was stored than worker and account bear.
+func TestRunsOfAnInheritedEndCountUntilTheyHaveEnded(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		limit, stands mothferry.Millicores
+	}{
+		{"room of the worker", 0, 10000},
+		{"limit of the account", 2000, 2000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(t)
+			s.limit(c.limit)
+			over := submission(s.now, 1)
+			over.Account, over.Steps[0].Need.Cores = account, c.stands
+			s.step(mfsched.JobOver{Job: "over", State: mfjob.StateCancelled})
+			s.step(mfsched.JobOver{Job: "over", State: mfjob.StateCancelled, Submission: over})
+			s.list("w")
+			s.pass(10 * time.Millisecond)
+			s.look("w", mothferry.LookReport{Running: []mothferry.RunningTask{{Task: mothferry.TaskName{Job: "over"}, Run: 1, Percent: 10}}})
+			s.submitFor("next", 1, func(step *mfjob.Step) { step.Need.Cores = c.stands })
+			s.pass(100 * time.Millisecond)
+			assert.Equal(t, len(taken[mfsched.Start](s)), 0)
+			s.look("w", mothferry.LookReport{})
+			s.pass(100 * time.Millisecond)
+			assert.Equal(t, len(taken[mfsched.Start](s)), 1)
+		})
+	}
+}
