Check a late start of an account by the limit of the moment when it was ordered

Trace: the limit is lowered (3.458 s); the start that breaks it (4.892 s) was ordered at most 13 ms later, before any owner could have adopted the config, got no answer and is carried out late, with no owner there. The check already counts the higher limit for a second after a change, for what was decided just before; an order that a worker carries out seconds later was judged by the limit of then. No host can recall it for sure; the users' rules except orders that were carried out late from rules with a bound of time. Replaced by one as strict: such a start is compared with the highest limit at the moment when it was ordered, all others as before, and its run counts.

--- a/mfemulate/account.go
+++ b/mfemulate/account.go
@@ -61,13 +61,17 @@
 }
 
 // checkAccount watches that a start does not bring its account over its limit by more
-// than the overage and one task.
+// than the overage and one task. No owner can keep a worker from carrying out late what was ordered
+// before a limit was lowered: the limit of that moment counts for it.
 func (w *World) checkAccount(c *caller, step *mfjob.Step) {
 	id := c.submission.Account
 	if id == "" {
 		return
 	}
 	held, most := w.heldBy(id), w.limits[id]
+	if w.late {
+		most = higher(most, w.lateLimits[id])
+	}
 	over := beyond(float64(held.Cores), float64(most.Cores)) || beyond(float64(held.Memory), float64(most.Memory)) ||
 		beyond(float64(held.Accelerators), float64(most.Accelerators))
 	if over {
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -209,12 +209,12 @@
 		return
 	case w.chance(w.Faults.LateOrder):
 		w.after(callTimeout, unknown)
-		k := w.workers[id]
+		k, limits := w.workers[id], maps.Clone(w.limits)
 		w.after(time.Duration(w.Random.Float64()*float64(w.Faults.LateBy)), func() {
 			if k != nil && !k.over {
-				w.late = true
+				w.late, w.lateLimits = true, limits
 				_ = carry(k)
-				w.late = false
+				w.late, w.lateLimits = false, nil
 			}
 		})
 		return
--- a/mfemulate/seed_test.go
+++ b/mfemulate/seed_test.go
@@ -60,6 +60,8 @@
 		{0x3, "limits stayed under which the backlog can't end"},
 		{0x29, "the model's owner adopted an older config after a newer one"},
 		{0x244845, "a successor did not count runs that were ending of a job whose cancel was stored"},
+		{0x1c5e0aa0ca, "the checker took a limit that was lowered after an order for the one of that order, which came late"},
+		{0xf4e9b, "the same"},
 		{0x2d, "starts decided before a limit was lowered were ordered again after it"},
 	} {
 		w := accountHistory(k.seed, rand.New(rand.NewPCG(k.seed, 3)))
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -103,6 +103,8 @@
 	lives    int
 	// limits holds what each account may have running by any config that may be in force.
 	limits map[mothferry.AccountID]mothferry.Resources
+	// lateLimits holds the limits at the moment when the order was sent that is carried out late.
+	lateLimits map[mothferry.AccountID]mothferry.Resources
 	// changes counts the changes of the accounts.
 	changes int
 	// faulty is until when a fault acts on owners.
