--- a/mfemulate/crash_test.go
+++ b/mfemulate/crash_test.go
@@ -20,6 +20,7 @@
 // The aim: fewer crashes than the three after which repeats are bounded, hardly a job
 // failed by bad luck, and four fifths of what is in time without such tasks.
 func TestTasksThatEndWorkersLeaveTheOthersServed(t *testing.T) {
+	t.Parallel()
 	load, err := mfemulate.DecodeLoad("crashing.yaml", mfexample.Crashing)
 	assert.NilError(t, err)
 	calm := load
--- a/mfemulate/load_test.go
+++ b/mfemulate/load_test.go
@@ -31,6 +31,7 @@
 // its machines can do. With fixed pools a good part of the jobs is late;
 // machines that follow the demand serve nearly all in time, with fewer of them on.
 func TestPoolsFollowTurns(t *testing.T) {
+	t.Parallel()
 	fixed, fixedMachines := turns(t, false)
 	moving, movingMachines := turns(t, true)
 	assert.Assert(t, fixed < 0.7)
@@ -45,6 +46,7 @@
 // On a fifth of the deployment's machines and jobs, mean of four seeds: worth in
 // time 0.79 sized by what came in the last 0.4 s, 0.85 with the forecast.
 func TestPoolsAreReadyForRisingDemand(t *testing.T) {
+	t.Parallel()
 	load := humps(t)
 	divide(load, 5)
 	const seeds = 4
@@ -82,6 +84,7 @@
 //
 // Worth in time of this play: 0.938 with that reserve, 0.962 with half of it.
 func TestTurnGetsWhatIdlePoolsHave(t *testing.T) {
+	t.Parallel()
 	figures := mfemulate.Play(humps(t), limits(), 1, true)
 	t.Logf("worth in time %.3f", figures.Worth)
 	assert.Assert(t, figures.Worth > 0.95, "%.3f", figures.Worth)
@@ -94,6 +97,7 @@
 // 0.10 with a look at a time and runs stopped whose start had no answer, 0.77 with two
 // looks and starts given again, 0.83 with no call lost.
 func TestLostCallsHoldLittleUp(t *testing.T) {
+	t.Parallel()
 	load, err := mfemulate.DecodeLoad("late.yaml", mfexample.Late)
 	assert.NilError(t, err)
 	divide(load, 5)
--- a/mfemulate/seed_test.go
+++ b/mfemulate/seed_test.go
@@ -9,6 +9,7 @@
 
 // Seeds that once failed.
 func TestKeptSeeds(t *testing.T) {
+	t.Parallel()
 	for _, k := range []struct {
 		seed  uint64
 		cause string
@@ -25,6 +26,7 @@
 
 // Seeds of histories with tasks that end their workers that once failed.
 func TestKeptCrashSeeds(t *testing.T) {
+	t.Parallel()
 	for _, k := range []struct {
 		seed  uint64
 		cause string
@@ -45,6 +47,7 @@
 
 // A task must not be started three times after its third crash because one of its runs failed between unsure crashes.
 func TestFailureBetweenUnsureCrashesAddsNoStart(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{0x6c0d8, 0x2660} {
 		w := crashHistory(seed)
 		assert.Equal(t, len(w.Broken), 0, "%v", w.Broken)
@@ -54,6 +57,7 @@
 
 // Seeds of histories with client accounts that once failed.
 func TestKeptAccountSeeds(t *testing.T) {
+	t.Parallel()
 	for _, k := range []struct {
 		seed  uint64
 		cause string
@@ -74,6 +78,7 @@
 
 // Seeds of histories with lives under one id that once failed.
 func TestKeptLifeSeeds(t *testing.T) {
+	t.Parallel()
 	w := sameIDHistory(0x203)
 	assert.Equal(t, len(w.Broken), 0, "%v (once: an entry ended a life whose successor had taken orders meant for it)", w.Broken)
 	assert.Equal(t, w.Unfinished(), 0)
@@ -81,6 +86,7 @@
 
 // Seeds of histories with many takeovers that once failed.
 func TestKeptTakeoverSeeds(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{0x4c93400c2a1b6f48, 0xa41c3f, 0x10cd45e9} {
 		w := takeoverHistory(seed)
 		assert.Assert(t, w.Figures.EmptyLogs > 1, "the log was never empty after the first takeover")
@@ -91,6 +97,7 @@
 
 // Seeds of histories with upkeep that failed while nothing kept lasting tasks from being stopped.
 func TestKeptUpkeepSeeds(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{0x7e, 0xa41c3f, 0x2} {
 		w := upkeepHistory(seed)
 		assert.Assert(t, w.Figures.Upkeeps > 0)
--- a/mfemulate/share_test.go
+++ b/mfemulate/share_test.go
@@ -18,6 +18,7 @@
 // order whoever sent them, the jobs that nobody is owed made half of the other account's
 // late. The aim: nine tenths of what is within an account's rate is in time all the same.
 func TestAccountBeyondItsRateMakesOnlyItselfLate(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		w := &mfemulate.World{
 			Limits: limits(), Random: rand.New(rand.NewPCG(seed+1, 9)), Queues: queues(),
