Give the shard up only once the commit under way has ended

At worst the stop fails, or the head that is given up tells of the commit before. Now the commit is ended and waited for first.

--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -67,8 +67,9 @@
 	once     sync.Once
 	ctx      context.Context
 	// commits outlives ctx, so that a commit under way at a planned stop still
-	// gets its outcome.
-	commits context.Context
+	// gets its outcome; endCommits ends it.
+	commits    context.Context
+	endCommits context.CancelFunc
 }
 
 // run runs the shard until ctx ends or another host has it.
@@ -91,7 +92,7 @@
 		restored:  make(chan struct{}),
 		loaded:    make(chan struct{}),
 		ctx:       inner,
-		commits:   commits,
+		commits:   commits, endCommits: cancelCommits,
 	}
 	if o.Beside != nil {
 		var beside sync.WaitGroup
@@ -194,6 +195,9 @@
 				return err
 			}
 		case <-s.owner.Clock.After(giveUpWithin):
+			// The shard is given up by the same chain, which one goroutine uses at a time.
+			s.endCommits()
+			<-s.written
 		}
 	}
 	return s.ctx.Err()
--- a/mfowner/successor_test.go
+++ b/mfowner/successor_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"gotest.tools/v3/assert"
 
 	"mothferry"
@@ -252,3 +253,31 @@
 	assert.NilError(t, err)
 	assert.Assert(t, head.LeaseTail >= left, "%v", head.LeaseTail)
 }
+
+// A shard must be given up only once the commit under way has ended, however long its answer takes.
+func TestShardIsGivenUpAfterTheCommitUnderWay(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	o, lines := logged("h-1", rows)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = o.Run(ctx) })
+	eventually(t, "the shard has an owner", o.Owning)
+	var lost atomic.Int64
+	rows.SetBefore(func(mothferry.Txn) mfstandin.CommitFault {
+		lost.Add(1)
+		return mfstandin.CommitLost
+	})
+	eventually(t, "a commit is under way", func() bool { return lost.Load() > 0 })
+	cancel()
+	time.Sleep(giveUpWithin - 50*time.Millisecond)
+	rows.SetBefore(func(txn mothferry.Txn) mfstandin.CommitFault {
+		head, err := mfrecord.DecodeHead(txn.Writes[0].Value)
+		if err == nil && head.Holder == "" {
+			return mfstandin.CommitWell
+		}
+		return mfstandin.CommitLost
+	})
+	running.Wait()
+	given := slices.ContainsFunc(lines.Entries, func(e *log.Entry) bool { return e.Message == "shard is given up" })
+	assert.Assert(t, given)
+}
