--- a/mfduty/duty_test.go
+++ b/mfduty/duty_test.go
@@ -63,8 +63,7 @@
 	}
 }
 
-// A wave must not count as completed, nor a machine of it as back, because one list of machines lacks it: only what stays
-// away is gone.
+// A wave must not count as completed, nor its machine as back, because a single list lacks the machine.
 func TestMachineThatOneListLacksIsNotGone(t *testing.T) {
 	s := mfduty.New()
 	s.Ask(wave(1, "m-1", "m-2"), start)
--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -236,8 +236,7 @@
 	})
 }
 
-// Two large jobs that change in one commit must not make a row that the store refuses: the owner could store nothing
-// any more, and its successors neither.
+// Large jobs that change in one commit must not make a row that the store refuses.
 func TestLargeJobsGetRowsOfTheirOwn(t *testing.T) {
 	large := progress(2, mfjob.MaxTasks)
 	tasks := large.Occurrences[0][0].Tasks
@@ -257,8 +256,7 @@
 	assert.DeepEqual(t, got, all)
 }
 
-// A successor of an earlier program, whose log began again far below what jobs' rows refer to, must not look through
-// the numbers between, or delete rows that were never there.
+// A successor must not go through the numbers that a log lacks, or delete rows that were never there.
 func TestGapInTheLogCostsNothing(t *testing.T) {
 	const far = 3_000_000
 	stored := newStore()
--- a/mfowner/duty_test.go
+++ b/mfowner/duty_test.go
@@ -21,8 +21,7 @@
 	assert.Equal(t, listGap(2*time.Second), 2500*time.Millisecond, "a list that is slow for other reasons is still asked for")
 }
 
-// A successor that was not told yet which machines a wave has must not store that none is done: the next one would empty
-// them once more.
+// A successor that does not know yet which machines a wave has must not store that none is done.
 func TestWaveNotAskedForKeepsWhatIsDone(t *testing.T) {
 	former := &session{duties: newDuties()}
 	done := []mothferry.MachineID{"m-2", "m-1"}
--- a/mfowner/handover_test.go
+++ b/mfowner/handover_test.go
@@ -52,8 +52,7 @@
 	assert.Equal(t, len(f.blocked(last.Add(time.Second), o.handOver())), 2)
 }
 
-// Two hosts must not ask for one machine shortly after one another: the one that had asked before this owner must not
-// take what this owner is about to ask for as its own.
+// A host must not take what the owner after it is about to ask for as its own earlier call.
 func TestMachineAskedForAnewIsTheNewOwners(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	o := &Owner{Daemon: "h-2", MachineHandOver: 3 * time.Second}
--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -20,8 +20,7 @@
 	// long a shard that was given up stays without an owner.
 	pollEvery = 300 * time.Millisecond
 	// ownerLease is how long the head row must be seen unchanged until its
-	// owner counts as gone, if it is not known how long a look takes. An idle owner
-	// rewrites it every 350 ms.
+	// owner counts as gone, if it is not known how long a look takes.
 	ownerLease = 1100 * time.Millisecond
 	// shortLease is the same on a store that is well, where an idle owner's commits take
 	// 10 ms. A look at the row tells how well it is: slowLooks times what the last one
--- a/mfowner/successor_test.go
+++ b/mfowner/successor_test.go
@@ -177,8 +177,7 @@
 	assert.Equal(t, workers.stops, 0, "runs were stopped")
 }
 
-// A deposed owner's late delete must not take the progress of a job that is over from its successor, which may have
-// read the job's row in the inbox before and would run it again.
+// A deposed owner's late delete must not take the progress of a job that is over from its successor.
 func TestFormerOwnerDeletesNoProgress(t *testing.T) {
 	rows := &mfstandin.Rows{}
 	workers := &loadWorkers{workers: map[mothferry.WorkerID]*loadWorker{}, takes: 50 * time.Millisecond}
--- a/mfsched/crash_test.go
+++ b/mfsched/crash_test.go
@@ -241,8 +241,7 @@
 	}
 }
 
-// A successor must not read that a worker may have crashed under a task which its owner has since heard
-// of: such counts add up over owners until the job is given up.
+// A successor must not read that a worker may have crashed which its owner has heard of since.
 func TestWorkerThatAnswersAgainIsStoredAsAlive(t *testing.T) {
 	s, _ := runningOn(t, "w")
 	s.step(mfsched.WorkersLeaving{Workers: map[mothferry.WorkerID]bool{"w": true}})
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -77,8 +77,8 @@
 	maxCommitJobs = 400
 	// maxCommitOwn bounds those of them that need a row of their own.
 	maxCommitOwn = mfjournal.MaxOwn
-	// maxCommitTasks bounds their tasks: some 50 bytes each of the 1 MB that a transaction takes, of
-	// which the journal needs two thirds at the most to move other large jobs.
+	// maxCommitTasks bounds their tasks, so that a transaction has room for what the journal
+	// moves beside them.
 	maxCommitTasks = 5000
 	// maxForget bounds the jobs forgotten at once: each has two rows in the
 	// inbox, and a transaction takes 100 entries.
--- a/mfsched/room_test.go
+++ b/mfsched/room_test.go
@@ -84,8 +84,7 @@
 	assert.Equal(t, len(taken[mfsched.Start](s)), 1)
 }
 
-// An owner must not put more into one commit than the store takes, as it would store nothing any more: a worker ends on
-// which large jobs run.
+// An owner must not put more into one commit than the store takes, as when a worker with large jobs ends.
 func TestLargeJobsTakeSeveralCommits(t *testing.T) {
 	// A third of what a transaction takes, as the journal may move other large jobs in it.
 	const most, base64 = 1 << 20 / 3, 4.0 / 3
