Have the group commit's test wait until all claims wait

Cause, by reading the test: it opened the table once 244 claims waited, so that up to 256 could still come one by one, each a commit of its own. The ledger is as it was.

--- a/mfledger/ledger_test.go
+++ b/mfledger/ledger_test.go
@@ -187,12 +187,12 @@
 			assert.Check(t, (err == nil) == (i != 7), "%d: %v", i, err)
 		})
 	}
-	// No transaction ends before most claims wait, however slow the machine.
+	// No transaction ends before all claims wait, however slow the machine.
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if len(l.operations) >= claims-writers*maxBatch {
-			return poll.Success()
+		if waiting := len(l.operations) + int(table.held.Load()); waiting < claims {
+			return poll.Continue("%d wait", waiting)
 		}
-		return poll.Continue("%d wait", len(l.operations))
+		return poll.Success()
 	}, poll.WithTimeout(time.Minute))
 	close(table.open)
 	group.Wait()
@@ -206,10 +206,13 @@
 	*mffake.Table
 	pass atomic.Bool
 	open chan struct{}
+	// held counts the writes that wait.
+	held atomic.Int64
 }
 
 func (g *gated) Commit(ctx context.Context, txn mothferry.Txn) (mothferry.Version, error) {
 	if !g.pass.Load() {
+		g.held.Add(int64(len(txn.Writes)))
 		<-g.open
 	}
 	return g.Table.Commit(ctx, txn)
