Exclude pauses of the watching host from the owner's lease timeout

Symptom: no decisions are made for one to two seconds because the shard changes hands although its owner is healthy, and the successor reads it again.

Cause: a host claims the shard once it has seen the head row unchanged for a lease (0.7 s on a healthy store). It counted the wall time between two reads, including time in which the host itself was paused. When hosts share a machine and are paused together, the owner has no chance to rewrite the head, and the outcome depends on which host runs first after the pause.

Ruled out: reading the shard.

Fix: subtract the time beyond the requested wait between two reads from the time for which the head has been seen unchanged. A host that was paused alone was already safe: it sees a different version when it resumes. The log line of a takeover has the new field paused_ms, which unchanged_ms no longer includes.

--- a/mfowner/head.go
+++ b/mfowner/head.go
@@ -51,6 +51,9 @@
 	version mothferry.Version
 	// since is when this version was first seen, read when it last was.
 	since, read time.Time
+	// paused is by how much this host's poll timers fired late in total since then. The
+	// owner may have been paused for the same time.
+	paused time.Duration
 	// strongest is the largest processor share that any host has told of, and
 	// strengthVersion the version of that row.
 	strongest       mothferry.Millicores
@@ -76,7 +79,7 @@
 		return next
 	}
 	if s.version == next.version {
-		next.since = s.since
+		next.since, next.paused = s.since, s.paused
 	}
 	if s.head.Holder == next.head.Holder && s.head.Epoch == next.head.Epoch {
 		next.ownerSince = s.ownerSince
@@ -84,12 +87,15 @@
 	return next
 }
 
+// unchanged is how long the head has been seen unchanged, less the time in paused.
+func (s sighting) unchanged() time.Duration { return s.read.Sub(s.since) - s.paused }
+
 // claimable reports whether a host with this share of processors may take the
 // shard over. A weak host leaves it to the strong ones for a while; a strong
 // one takes it from a weak owner: an owner that is short of processor time
 // extends leases too late, and what runs is lost.
 func (s sighting) claimable(own mothferry.DaemonID, cores mothferry.Millicores) bool {
-	unchanged := s.read.Sub(s.since)
+	unchanged := s.unchanged()
 	patience := time.Duration(0)
 	if float64(cores) < strongEnough*float64(s.strongest) {
 		patience = weakPatience
@@ -113,7 +119,7 @@
 // was sent before this host first saw the version that it wrote. A head that
 // still changed when the shard was claimed was written just before the claim.
 func (s sighting) lastCommit(claimed time.Time) time.Time {
-	if s.read.Sub(s.since) >= s.lease() {
+	if s.unchanged() >= s.lease() {
 		return s.since
 	}
 	return claimed
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -83,9 +83,11 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if !mfclock.Sleep(ctx, o.Clock, o.spread(pollEvery)) {
+		delay, began := o.spread(pollEvery), o.Clock.Now()
+		if !mfclock.Sleep(ctx, o.Clock, delay) {
 			return ctx.Err()
 		}
+		seen.paused += max(0, o.Clock.Now().Sub(began)-delay)
 	}
 }
 
@@ -138,7 +140,7 @@
 		LeaseTail: max(o.Limits.LeaseTail(), seen.head.LeaseTail), Called: seen.head.Called,
 		CalledBy: formerCalls{ago: seen.head.Called, head: seen.head, own: o.Daemon}.inheritedBy(),
 	}, nil)
-	entry := o.Log.WithFields(log.Fields{"epoch": seen.head.Epoch + 1, "former": seen.head.Holder, "unchanged_ms": seen.read.Sub(seen.since).Milliseconds(), "millicores": o.cores()})
+	entry := o.Log.WithFields(log.Fields{"epoch": seen.head.Epoch + 1, "former": seen.head.Holder, "unchanged_ms": seen.unchanged().Milliseconds(), "paused_ms": seen.paused.Milliseconds(), "millicores": o.cores()})
 	if err != nil {
 		entry.WithError(err).Info("shard was not taken over")
 		return
