Postpone the trial of the likeliest cause of a crash until its service is lightly loaded

Cause: such a task has to crash two workers before its job may be given up. The second crash followed 0.6 s after the first, at peak demand, when the pool had no worker to spare. It made the worker unavailable for two seconds and restarted a dozen or more other tasks.

Fix: treat the runs that were ordered last before the crash as the likeliest cause. Their trial waits until at most a fifth of their service's cores are in use: for at most 10 s, and for at most 2 s once no more than half is in use, so that no task waits for long in a service with room for it. This holds for a task's first early crash, unless it lasts or is in a gang. The other runs that began just before the crash are tried as before. A new log line, "trial is postponed", names the task.

Tests: TestLikeliestCauseOfACrashWaitsForLightLoad and TestTrialInABusyServiceIsNotPostponedIndefinitely fail without the change. TestTrialInAHalfIdleServiceIsNotPostponedForLong fails without the 2 s limit.

--- a/mfsched/crash.go
+++ b/mfsched/crash.go
@@ -66,6 +66,15 @@
 	// trialShare is the largest part of a service's usable workers that try tasks at the
 	// same time, one at least.
 	trialShare = 1.0 / 3
+	// maxTrialLoad is the largest share of a service's cores in use at which the likeliest
+	// cause of a crash, the run ordered last before it, is tried without further delay. The
+	// trial may crash another worker, which a busy service can't spare. maxTrialDelay is the
+	// longest delay at any load, maxTrialDelayModerate the longest while at most moderateLoad
+	// of the cores is in use.
+	maxTrialLoad          = 0.2
+	moderateLoad          = 0.5
+	maxTrialDelay         = 10 * time.Second
+	maxTrialDelayModerate = 2 * time.Second
 )
 
 // doubtfulRun is a run that ended with its worker, which may have crashed.
@@ -90,10 +99,15 @@
 	if w.failing {
 		lastAlive = w.failedAt
 	}
+	last := lastSent(ended, lastAlive)
 	for _, t := range ended {
 		r := doubtfulRun{task: t, sure: t.surelyThere(lastAlive)}
 		if r.sure && !t.sent.IsZero() && t.borne() < t.provenAfter() {
 			r.early, t.doubted = true, now
+			possibleFirstCrash := cause != LifePlanned && t.crashes.Early == 0 && !t.job.state.Final()
+			if possibleFirstCrash && t.sent.Equal(last) && !t.step.of.Lasting && !t.step.of.Gang {
+				s.postponeTrial(t, now)
+			}
 		}
 		runs = append(runs, r)
 		t.crashes.Unseen++
@@ -111,6 +125,27 @@
 	return s.resolve(w.at.Worker, cause)
 }
 
+// lastSent returns when the latest start was ordered among the runs that were certainly on
+// the worker when it ended, or zero if there are none.
+func lastSent(runs []*task, lastAlive time.Time) time.Time {
+	var last time.Time
+	for _, t := range runs {
+		if t.sent.After(last) && t.surelyThere(lastAlive) {
+			last = t.sent
+		}
+	}
+	return last
+}
+
+// postponeTrial delays the trial of a task until its service is lightly loaded, but for no
+// longer than maxTrialDelay.
+func (s *State) postponeTrial(t *task, now time.Time) {
+	t.trialPostponedUntil, t.trialDeadline = now.Add(maxTrialDelayModerate), now.Add(maxTrialDelay)
+	s.emit(Decision{Message: "trial is postponed", Job: t.job.id, Worker: t.worker.at.Worker, Fields: map[string]any{
+		"step": t.name.Step, "index": t.name.Index, "run": t.run, "max_delay_ms": maxTrialDelay.Milliseconds(),
+	}})
+}
+
 // resolve takes in why a life ended. It returns the tasks that are to be given up for it.
 func (s *State) resolve(id mothferry.WorkerID, cause LifeEnd) []*task {
 	var guilty []*task
@@ -142,6 +177,7 @@
 	}
 	c.Unseen = max(0, c.Unseen-1)
 	if cause != LifeCrashed {
+		r.task.trialDeadline = time.Time{}
 		return
 	}
 	c.Known++
@@ -253,8 +289,17 @@
 	return w.trial != nil && w.trial.worker == w && w.trial.borne() < w.trial.provenAfter()
 }
 
-// mayTry reports whether one more of a service's usable workers may try a task.
-func mayTry(workers []*worker) bool {
+// mayTry reports whether one more of a service's usable workers may try the task now.
+func (t *task) mayTry(workers []*worker, now time.Time) bool {
+	if now.Before(t.trialDeadline) {
+		load := coreLoad(workers)
+		if load > moderateLoad {
+			t.trialPostponedUntil = now.Add(maxTrialDelayModerate)
+		}
+		if load > maxTrialLoad && now.Before(t.trialPostponedUntil) {
+			return false
+		}
+	}
 	trials := 0
 	for _, w := range workers {
 		if w.onTrial() {
@@ -264,6 +309,16 @@
 	return trials < max(1, int(trialShare*float64(len(workers))))
 }
 
+// coreLoad returns the share of the workers' cores that is in use.
+func coreLoad(workers []*worker) float64 {
+	var used, capacity mothferry.Millicores
+	for _, w := range workers {
+		used += w.used.Cores
+		capacity += w.Capacity.Cores
+	}
+	return float64(used) / float64(max(1, capacity))
+}
+
 // clearCrashes forgets crashes under a lasting task that has run for a while.
 func (s *State) clearCrashes(t *task, now time.Time) {
 	if t.crashes == (mfjob.Crashes{}) || t.percent < fullPace || now.Sub(t.confirmed) < clearedAfter {
--- a/mfsched/crash_test.go
+++ b/mfsched/crash_test.go
@@ -140,6 +140,80 @@
 	assert.DeepEqual(t, s.over(mfjob.StateFailed), []mothferry.JobID{guilty})
 }
 
+// crashBesideFullWorkers returns a scheduler whose worker w-1 crashed just after job j began
+// there, and the runs on each of the other workers, which are fully occupied.
+func crashBesideFullWorkers(t *testing.T, full ...mothferry.WorkerID) (*script, map[mothferry.WorkerID][]mfsched.Start) {
+	t.Helper()
+	s := newScript(t)
+	others := map[mothferry.WorkerID][]mfsched.Start{}
+	for _, id := range full {
+		s.list(id)
+		s.pass(10 * time.Millisecond)
+		s.look(id, mothferry.LookReport{})
+		s.submit(jobID("on-"+string(id)), 16)
+		others[id] = s.begun(300 * time.Millisecond)
+		assert.Equal(t, len(others[id]), 16)
+		s.report(id, 40, others[id]...)
+	}
+	s.list("w-1")
+	s.pass(10 * time.Millisecond)
+	s.look("w-1", mothferry.LookReport{})
+	s.submit("j", 1)
+	suspects := s.begun(60 * time.Millisecond)
+	assert.Equal(t, len(suspects), 1)
+	assert.Equal(t, suspects[0].At.Worker, mothferry.WorkerID("w-1"))
+	s.crash("w-1", "w-2")
+	return s, others
+}
+
+// startDelay returns the time until the next task is started while the others keep running.
+func (s *script) startDelay(others map[mothferry.WorkerID][]mfsched.Start) time.Duration {
+	s.t.Helper()
+	since := s.now
+	for len(s.begun(100*time.Millisecond)) == 0 {
+		for id, starts := range others {
+			s.report(id, 60, starts...)
+		}
+		assert.Assert(s.t, s.now.Sub(since) < time.Minute)
+	}
+	return s.now.Sub(since)
+}
+
+// Guards against a second crash in a busy service from an immediate trial of the run that was
+// ordered last before the first.
+func TestLikeliestCauseOfACrashWaitsForLightLoad(t *testing.T) {
+	s, others := crashBesideFullWorkers(t, "w-a", "w-b")
+	for range 30 {
+		assert.Equal(t, len(s.begun(100*time.Millisecond)), 0)
+		for id, starts := range others {
+			s.report(id, 60, starts...)
+		}
+	}
+	s.pass(100 * time.Millisecond)
+	for id, starts := range others {
+		var report mothferry.LookReport
+		for i, o := range starts {
+			report.Ended = append(report.Ended, mothferry.EndedTask{Number: mothferry.EndNumber(i + 1), Task: o.Order.Task, Run: o.Order.Run, Cause: mothferry.EndDone})
+		}
+		s.look(id, report)
+	}
+	assert.Equal(t, len(s.begun(300*time.Millisecond)), 1)
+}
+
+// Guards against a task that never starts again because its service stays busy.
+func TestTrialInABusyServiceIsNotPostponedIndefinitely(t *testing.T) {
+	s, others := crashBesideFullWorkers(t, "w-a", "w-b")
+	waited := s.startDelay(others)
+	assert.Assert(t, waited > 9*time.Second && waited < 11*time.Second, "%v", waited)
+}
+
+// Guards against a task that waits for the full delay although its service has free cores.
+func TestTrialInAHalfIdleServiceIsNotPostponedForLong(t *testing.T) {
+	s, others := crashBesideFullWorkers(t, "w-a")
+	waited := s.startDelay(others)
+	assert.Assert(t, waited < 3*time.Second, "%v", waited)
+}
+
 // Machines are moved between pools and taken down for upkeep all day long, at times with a
 // short task on them. Taken for crashes, those ends would give sound tasks up.
 func TestPlannedEndsAreNoCrashes(t *testing.T) {
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -60,6 +60,10 @@
 	// doubted is when a worker ended early under it, perhaps by a crash; zero if that is
 	// settled.
 	doubted time.Time
+	// trialPostponedUntil is when the task may be tried even if its service is not lightly
+	// loaded. It is extended while more than moderateLoad is in use, but has no effect after
+	// trialDeadline, which is zero if no trial is postponed.
+	trialPostponedUntil, trialDeadline time.Time
 	// worker may run the task; nil while it waits or is done.
 	worker *worker
 	// inherited is when a run of an earlier owner was first confirmed; zero for
