mffollow: don't confirm placements after a pause without an up-to-date reply

Symptom: after a daemon resumes from a pause of 3 s, callers' requests are briefly sent to upstreams that have left (TestLeavingGetsNoNewWork, 2 of 288 runs beside a load of 16).

Cause, found by reading the code: a resumed daemon holds requests until it has compared its placements, but three kinds of comparison were accepted that prove nothing: - with a peer that has just started and has no placements yet; - with a peer that was paused for as long and has the same old placements; - a round in which no peer replied within its share of the bound (a third of a second with two peers) while the platform is out. This was treated as a daemon that reaches nobody, which continues with the placements it has, although healthy peers may only be slow at that moment.

Fix: - A peer that lacks a placement or has an older one does not confirm. - A daemon reports no placements to its peers while its own last comparison is older than the notice. Peers that rely on them wait. - After a pause, rounds that confirm nothing must continue for the notice (3 s) before the daemon continues with the placements it has; another pause meanwhile begins that time anew. Without a pause, such a round counts as before. - A log line reports that a comparison has ended a pause, and with whom.

Evidence: TestPeerWithoutPlacementsConfirmsNothing, TestPausedPeerConfirmsNothing and TestSlowPeersConfirmNothingAfterAPause fail before the change; a second pause has no test. That they were the cause of the 2 failures is likely and not shown, so that the test stays listed for now.

Not covered: a daemon that is cut off from all others for longer than the notice after a pause still continues with old placements.

--- a/mfdaemon/daemon.go
+++ b/mfdaemon/daemon.go
@@ -176,7 +176,7 @@
 	d.follower = &mffollow.Follower{
 		Self: s.Daemon, DataCentre: s.DataCentre, Clock: d.Clock,
 		Table: d.platform.Table, Store: d.store, Poll: s.Timing.Poll, Heartbeat: s.Timing.Heartbeat,
-		Bound: s.Timing.Notice / 3, Log: d.Logs.Part("config"),
+		Bound: s.Timing.Notice / 3, Notice: s.Timing.Notice, Log: d.Logs.Part("config"),
 	}
 	d.follower.Prepare(d.Random)
 	d.mesh = &mfpeer.Mesh{
--- a/mffollow/follower.go
+++ b/mffollow/follower.go
@@ -61,7 +61,10 @@
 	Heartbeat  time.Duration
 	// Bound is how long one comparison with peers may take.
 	Bound time.Duration
-	Log   *log.Entry
+	// Notice is the maximum age of the last comparison. Beyond it the daemon is considered
+	// paused and does not report its placements to peers.
+	Notice time.Duration
+	Log    *log.Entry
 
 	incarnation uint64
 	work        chan func(context.Context)
@@ -238,6 +241,7 @@
 func (f *Follower) Status() mfpeer.Status {
 	f.mutex.Lock()
 	offers, stopping := f.offers, f.stopping
+	stale := f.Clock.Now().Sub(f.confirmed) > f.Notice
 	f.mutex.Unlock()
 	current := f.Store.Current()
 	status := mfpeer.Status{
@@ -247,6 +251,10 @@
 		Shards:      map[mothferry.PoolID]mfpeer.ShardStatus{},
 	}
 	for pool, p := range current.Placements {
+		if stale {
+			// A peer with the same old placements would treat them as confirmed.
+			break
+		}
 		shard := mfpeer.ShardStatus{Generation: p.Generation}
 		if offers != nil {
 			shard.InFlightLeaving = offers.InFlightLeaving(p)
--- a/mffollow/fresh.go
+++ b/mffollow/fresh.go
@@ -17,7 +17,7 @@
 // runners that left meanwhile, for as long as the next heartbeat takes. The
 // age of the last comparison shows the pause: requests wait until the next one
 // is done. A daemon that reaches nobody has compared with all that there is,
-// and goes on serving.
+// and goes on serving; after a pause only once Notice has passed.
 func (f *Follower) Confirmed() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -25,13 +25,28 @@
 }
 
 // confirm compares the placements in force with others' again and again.
+//
+// After a pause, a round that returns SourceNone is accepted only once such rounds have
+// continued for Notice, because healthy peers may be slow or may have closed their sessions.
 func (f *Follower) confirm(ctx context.Context) {
+	var resumed, previous time.Time
 	for {
 		began := f.Clock.Now()
-		f.catchUp(ctx)
-		f.mutex.Lock()
-		f.confirmed = began
-		f.mutex.Unlock()
+		age := began.Sub(f.Confirmed())
+		if age > f.Notice && (resumed.IsZero() || began.Sub(previous) > f.Notice) {
+			resumed = began
+		}
+		previous = began
+		source := f.catchUp(ctx)
+		if source != SourceNone || resumed.IsZero() || f.Clock.Now().Sub(resumed) > f.Notice {
+			f.mutex.Lock()
+			f.confirmed = began
+			f.mutex.Unlock()
+			if !resumed.IsZero() {
+				f.Log.WithField("source", source).WithField("age_ms", age.Milliseconds()).Info("Placements are compared after a pause.")
+				resumed = time.Time{}
+			}
+		}
 		if !mfclock.Sleep(ctx, f.Clock, f.Heartbeat) {
 			return
 		}
@@ -43,25 +58,31 @@
 // asks the table. It is bounded, so that an unreachable peer does not keep a
 // daemon that serves from confirming what it knows; and each peer has its part
 // of the time, so that a frozen one does not use up that of the others.
-func (f *Follower) catchUp(ctx context.Context) {
+// It returns what confirmed the placements, or SourceNone if neither a peer nor the table did.
+func (f *Follower) catchUp(ctx context.Context) Source {
 	near := f.nearPeers()
 	part := f.Bound / time.Duration(len(near)+1)
 	for range near {
 		p := near[f.turn%len(near)]
 		f.turn++
 		if f.compare(ctx, p, part) {
-			return
+			return SourcePeer
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, part)
 	defer cancel()
-	if err := f.readTable(ctx); err != nil && ctx.Err() == nil {
-		f.Log.WithError(err).Debug("Neither peers nor the platform can be reached.")
+	if err := f.readTable(ctx); err != nil {
+		if ctx.Err() == nil {
+			f.Log.WithError(err).Debug("Neither peers nor the platform can be reached.")
+		}
+		return SourceNone
 	}
+	return SourcePlatform
 }
 
 // compare swaps heartbeats with a peer, adopts what it has newer, and reports
-// whether all of that came in time. Old placements would count as confirmed otherwise, and
+// whether all of that came in time and the peer is up to date with this daemon.
+// Old placements would count as confirmed otherwise, and
 // a daemon that was paused would send requests to runners that have left.
 func (f *Follower) compare(ctx context.Context, p mfpeer.Peer, bound time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, bound)
@@ -74,7 +95,19 @@
 	if err != nil {
 		return false
 	}
-	return f.adoptNewer(ctx, p, status)
+	return f.adoptNewer(ctx, p, status) && !f.aheadOf(status)
+}
+
+// aheadOf reports whether a peer's status lacks a placement that is in force here or
+// has an older generation of it. Such a peer has just started or was paused itself, so
+// it cannot rule out that newer placements exist.
+func (f *Follower) aheadOf(s mfpeer.Status) bool {
+	for pool, p := range f.Store.Current().Placements {
+		if s.Shards[pool].Generation < p.Generation {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *Follower) nearPeers() []mfpeer.Peer {
--- a/mffollow/fresh_test.go
+++ b/mffollow/fresh_test.go
@@ -47,7 +47,7 @@
 	table.SetDown(true)
 	f := &Follower{
 		Self: name, DataCentre: "dc1", Clock: mfclock.System{}, Table: table, Store: mfsnapshot.NewStore(),
-		Poll: time.Hour, Heartbeat: time.Hour, Bound: 6 * time.Second, Log: mflog.Discard(),
+		Poll: time.Hour, Heartbeat: time.Hour, Bound: 6 * time.Second, Notice: 30 * time.Minute, Log: mflog.Discard(),
 	}
 	f.Prepare(mfclock.SystemRandom{})
 	f.Mesh = &mfpeer.Mesh{
@@ -176,3 +176,75 @@
 		assert.Equal(t, f.Store.Current().Placements["p"].Generation, generation)
 	}
 }
+
+// Placements must not count as confirmed by a peer that has just started and has none.
+func TestPeerWithoutPlacementsConfirmsNothing(t *testing.T) {
+	empty, awake, own := listen(t), listen(t), listen(t)
+	peer := func(name mothferry.DaemonID, l net.Listener) mfpeer.Peer {
+		return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: l.Addr().String()}
+	}
+	follower(t, "empty", empty, peer("own", own))
+	other := follower(t, "awake", awake, peer("own", own))
+	f := follower(t, "own", own, peer("empty", empty), peer("awake", awake))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, p := range f.Mesh.Peers {
+			if _, err := f.Mesh.Exchange(t.Context(), p); err != nil {
+				return poll.Continue("no session to %s: %v", p.Daemon, err)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+	f.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 4})
+	other.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 5})
+	f.turn = 0
+	f.catchUp(t.Context())
+	assert.Equal(t, f.Store.Current().Placements["p"].Generation, mothferry.Generation(5))
+}
+
+// Placements must not count as confirmed by a peer that was paused for as long and has the same old ones.
+func TestPausedPeerConfirmsNothing(t *testing.T) {
+	paused, awake, own := listen(t), listen(t), listen(t)
+	peer := func(name mothferry.DaemonID, l net.Listener) mfpeer.Peer {
+		return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: l.Addr().String()}
+	}
+	others := []*Follower{follower(t, "paused", paused, peer("own", own)), follower(t, "awake", awake, peer("own", own))}
+	f := follower(t, "own", own, peer("paused", paused), peer("awake", awake))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, p := range f.Mesh.Peers {
+			if _, err := f.Mesh.Exchange(t.Context(), p); err != nil {
+				return poll.Continue("no session to %s: %v", p.Daemon, err)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+	f.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 4})
+	others[0].Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 4})
+	others[1].Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 5})
+	others[0].mutex.Lock()
+	others[0].confirmed = time.Now().Add(-time.Hour)
+	others[0].mutex.Unlock()
+	f.turn = 0
+	f.catchUp(t.Context())
+	assert.Equal(t, f.Store.Current().Placements["p"].Generation, mothferry.Generation(5))
+}
+
+// After a pause, placements must not count as confirmed merely because one round got no reply from slow peers.
+func TestSlowPeersConfirmNothingAfterAPause(t *testing.T) {
+	frozen, own := listen(t), listen(t)
+	f := follower(t, "own", own, mfpeer.Peer{Daemon: "frozen", DataCentre: "dc1", Address: frozen.Addr().String()})
+	f.Bound, f.Notice, f.Heartbeat = 50*time.Millisecond, time.Second, 10*time.Millisecond
+	resumed := time.Now()
+	f.confirmed = resumed.Add(-time.Hour)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { f.confirm(ctx) })
+	defer group.Wait()
+	defer cancel()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.Confirmed().After(resumed) {
+			return poll.Success()
+		}
+		return poll.Continue("comparisons without a reply are not accepted yet")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
+	assert.Assert(t, time.Since(resumed) >= f.Notice)
+}
