--- a/mfprocess/deployment_test.go
+++ b/mfprocess/deployment_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -85,6 +86,13 @@
 	}
 	t.Cleanup(d.client.CloseIdleConnections)
 	d.run(t, "standin", "mothferry-standin", append([]string{"--listen", d.platform, "--start-delay", "20ms"}, flags...)...)
+	eventually(t, "the stand-in listens", func() bool {
+		connection, err := net.Dial("tcp", d.platform)
+		if err != nil {
+			return false
+		}
+		return connection.Close() == nil
+	})
 	for i := range 3 * perCentre {
 		p := &process{
 			name:    mothferry.DaemonID(fmt.Sprintf("entry-%d", i+1)),
