mffollow: share the setup of tests with several peers

Four tests built their peers with identical closures, and three of them waited for sessions to all peers with equivalent loops. No check or bound has changed.

--- a/mffollow/fresh_test.go
+++ b/mffollow/fresh_test.go
@@ -65,6 +65,24 @@
 	return f
 }
 
+// awaitSessions waits until the follower has a session to each of its peers.
+func awaitSessions(t *testing.T, f *Follower) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, p := range f.Mesh.Peers {
+			if _, err := f.Mesh.Exchange(t.Context(), p); err != nil {
+				return poll.Continue("no session to %s: %v", p.Daemon, err)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+}
+
+// peerAt returns a peer in the data centre of the test followers, reachable at the address of the listener.
+func peerAt(name mothferry.DaemonID, listener net.Listener) mfpeer.Peer {
+	return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: listener.Addr().String()}
+}
+
 // TestFrozenPeerHidesNoOther: symptom, a daemon that resumes from a pause sends
 // work to a runner that left. Sequence: of its two peers the one that it asks
 // first is frozen; the question uses up all the time for comparing, the other
@@ -72,12 +90,9 @@
 // Cause: one bound for all peers together.
 func TestFrozenPeerHidesNoOther(t *testing.T) {
 	frozen, awake, own := listen(t), listen(t), listen(t)
-	peer := func(name mothferry.DaemonID, l net.Listener) mfpeer.Peer {
-		return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: l.Addr().String()}
-	}
-	other := follower(t, "awake", awake, peer("own", own))
+	other := follower(t, "awake", awake, peerAt("own", own))
 	other.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 5})
-	f := follower(t, "own", own, peer("frozen", frozen), peer("awake", awake))
+	f := follower(t, "own", own, peerAt("frozen", frozen), peerAt("awake", awake))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		f.turn = 1
 		f.catchUp(t.Context())
@@ -97,20 +112,12 @@
 // time; the daemon took its old ones for confirmed all the same. It asks the next peer now.
 func TestPlacementsThatDidNotComeAreNotConfirmed(t *testing.T) {
 	short, awake, own := listen(t), listen(t), listen(t)
-	peer := func(name mothferry.DaemonID, l net.Listener) mfpeer.Peer {
-		return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: l.Addr().String()}
+	others := []*Follower{
+		follower(t, "short", short, peerAt("own", own)),
+		follower(t, "awake", awake, peerAt("own", own)),
 	}
-	others := []*Follower{follower(t, "short", short, peer("own", own)), follower(t, "awake", awake, peer("own", own))}
-	f := follower(t, "own", own, peer("short", short), peer("awake", awake))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, err := f.Mesh.Exchange(t.Context(), peer("short", short)); err != nil {
-			return poll.Continue("no session to the peer that withholds: %v", err)
-		}
-		if _, err := f.Mesh.Exchange(t.Context(), peer("awake", awake)); err != nil {
-			return poll.Continue("no session to the peer that is awake: %v", err)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(time.Minute))
+	f := follower(t, "own", own, peerAt("short", short), peerAt("awake", awake))
+	awaitSessions(t, f)
 	for _, o := range others {
 		o.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 5})
 	}
@@ -180,20 +187,10 @@
 // Placements must not count as confirmed by a peer that has just started and has none.
 func TestPeerWithoutPlacementsConfirmsNothing(t *testing.T) {
 	empty, awake, own := listen(t), listen(t), listen(t)
-	peer := func(name mothferry.DaemonID, l net.Listener) mfpeer.Peer {
-		return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: l.Addr().String()}
-	}
-	follower(t, "empty", empty, peer("own", own))
-	other := follower(t, "awake", awake, peer("own", own))
-	f := follower(t, "own", own, peer("empty", empty), peer("awake", awake))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, p := range f.Mesh.Peers {
-			if _, err := f.Mesh.Exchange(t.Context(), p); err != nil {
-				return poll.Continue("no session to %s: %v", p.Daemon, err)
-			}
-		}
-		return poll.Success()
-	}, poll.WithTimeout(time.Minute))
+	follower(t, "empty", empty, peerAt("own", own))
+	other := follower(t, "awake", awake, peerAt("own", own))
+	f := follower(t, "own", own, peerAt("empty", empty), peerAt("awake", awake))
+	awaitSessions(t, f)
 	f.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 4})
 	other.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 5})
 	f.turn = 0
@@ -201,22 +198,15 @@
 	assert.Equal(t, f.Store.Current().Placements["p"].Generation, mothferry.Generation(5))
 }
 
-// Placements must not count as confirmed by a peer that was paused for as long and has the same old ones.
+// Placements must not count as confirmed by a peer that was paused equally long and has the same outdated ones.
 func TestPausedPeerConfirmsNothing(t *testing.T) {
 	paused, awake, own := listen(t), listen(t), listen(t)
-	peer := func(name mothferry.DaemonID, l net.Listener) mfpeer.Peer {
-		return mfpeer.Peer{Daemon: name, DataCentre: "dc1", Address: l.Addr().String()}
+	others := []*Follower{
+		follower(t, "paused", paused, peerAt("own", own)),
+		follower(t, "awake", awake, peerAt("own", own)),
 	}
-	others := []*Follower{follower(t, "paused", paused, peer("own", own)), follower(t, "awake", awake, peer("own", own))}
-	f := follower(t, "own", own, peer("paused", paused), peer("awake", awake))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, p := range f.Mesh.Peers {
-			if _, err := f.Mesh.Exchange(t.Context(), p); err != nil {
-				return poll.Continue("no session to %s: %v", p.Daemon, err)
-			}
-		}
-		return poll.Success()
-	}, poll.WithTimeout(time.Minute))
+	f := follower(t, "own", own, peerAt("paused", paused), peerAt("awake", awake))
+	awaitSessions(t, f)
 	f.Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 4})
 	others[0].Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 4})
 	others[1].Store.AdoptPlacement(mfplacement.Record{DataCentre: "dc1", Pool: "p", Generation: 5})
@@ -232,9 +222,11 @@
 func TestSlowPeersConfirmNothingAfterAPause(t *testing.T) {
 	frozen, own := listen(t), listen(t)
 	f := follower(t, "own", own, mfpeer.Peer{Daemon: "frozen", DataCentre: "dc1", Address: frozen.Addr().String()})
-	f.Bound, f.Notice, f.Heartbeat = 50*time.Millisecond, time.Second, 10*time.Millisecond
 	resumed := time.Now()
+	f.mutex.Lock()
+	f.Bound, f.Notice, f.Heartbeat = 50*time.Millisecond, time.Second, 10*time.Millisecond
 	f.confirmed = resumed.Add(-time.Hour)
+	f.mutex.Unlock()
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	group.Go(func() { f.confirm(ctx) })
@@ -244,7 +236,7 @@
 		if f.Confirmed().After(resumed) {
 			return poll.Success()
 		}
-		return poll.Continue("comparisons without a reply are not accepted yet")
+		return poll.Continue("placements are not confirmed yet")
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
 	assert.Assert(t, time.Since(resumed) >= f.Notice)
 }
