mfsched: lay out occurrences of a schedule when they are due

Cause: the owner laid out all occurrences of a job when it found the job, and its process was killed for memory; the row stayed in the inbox, so each successor ended the same way. The bound on tasks times repetitions wrapped: 2 * (2^63-1) is -2.

Memory, rows and time per tick follow from what is open, whatever repeat_count says. The check bounds the tasks of one occurrence, without a product. A stored job whose steps can't be laid out fails alone.

--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -326,9 +326,16 @@
 // storedAsDone reports whether a task is stored as done.
 func (w *World) storedAsDone(name mothferry.TaskName) bool {
 	p, ok := w.committed[name.Job]
-	if !ok || name.Occurrence >= len(p.Occurrences) {
+	if !ok || name.Occurrence >= p.Begun() || p.State.Final() {
 		return ok && p.State == mfjob.StateCompleted
 	}
-	s := p.Occurrences[name.Occurrence][name.Step]
+	index, listed := name.Occurrence, true
+	if p.Open != nil {
+		index, listed = slices.BinarySearch(p.Open.Numbers, name.Occurrence)
+	}
+	if !listed {
+		return true
+	}
+	s := p.Occurrences[index][name.Step]
 	return s.Done || name.Index < len(s.Tasks) && s.Tasks[name.Index].Done
 }
--- a/mfjob/job.go
+++ b/mfjob/job.go
@@ -92,8 +92,8 @@
 // Occurrences returns how many times the steps run.
 func (s Submission) Occurrences() int { return max(1, s.Repeat) }
 
-// Limits of a submission. MaxTasks keeps a job's progress, at some 40 bytes a task, within one
-// row of 64 KiB.
+// Limits of a submission. MaxTasks bounds the tasks of one occurrence: it keeps a job's progress, at
+// some 40 bytes a task, within one row of 64 KiB.
 const (
 	MaxSpecBytes = 4000
 	MaxSteps     = 64
@@ -116,21 +116,41 @@
 	switch {
 	case len(s.Spec) > MaxSpecBytes:
 		return &ErrInvalid{"spec", fmt.Sprintf("is longer than %d bytes", MaxSpecBytes)}
-	case len(s.Steps) == 0:
-		return &ErrInvalid{"steps", "are missing"}
-	case len(s.Steps) > MaxSteps:
-		return &ErrInvalid{"steps", fmt.Sprintf("are more than %d", MaxSteps)}
 	case s.Repeat < 0 || s.Repeat > 1 && s.Interval < 0:
 		return &ErrInvalid{"repetition", "is negative"}
 	}
-	tasks := 0
+	if err := s.CheckSteps(); err != nil {
+		return err
+	}
 	for i, t := range s.Steps {
 		if err := t.check(i); err != nil {
 			return err
 		}
-		tasks += t.Count
 	}
-	if tasks*s.Occurrences() > MaxTasks {
+	return nil
+}
+
+// CheckSteps returns an ErrInvalid if the steps can't be laid out: the number of tasks is out of
+// bounds, or a step depends on one that is not before it.
+func (s Submission) CheckSteps() error {
+	switch {
+	case len(s.Steps) == 0:
+		return &ErrInvalid{"steps", "are missing"}
+	case len(s.Steps) > MaxSteps:
+		return &ErrInvalid{"steps", fmt.Sprintf("are more than %d", MaxSteps)}
+	}
+	for i, t := range s.Steps {
+		field := fmt.Sprintf("step %d", i)
+		if t.Count <= 0 || t.Count > MaxTasks {
+			return &ErrInvalid{field, "has an invalid count of tasks"}
+		}
+		for _, a := range t.After {
+			if a < 0 || a >= i {
+				return &ErrInvalid{field, "depends on a step that is not before it"}
+			}
+		}
+	}
+	if s.TasksPerOccurrence() > MaxTasks {
 		return &ErrInvalid{"tasks", fmt.Sprintf("are more than %d", MaxTasks)}
 	}
 	return nil
@@ -139,8 +159,6 @@
 func (t Step) check(index int) error {
 	field := fmt.Sprintf("step %d", index)
 	switch {
-	case t.Count <= 0 || t.Count > MaxTasks:
-		return &ErrInvalid{field, "has an invalid count of tasks"}
 	case t.Need.Cores < 0 || t.Need.Memory < 0 || t.Need.Accelerators < 0 || t.Estimate < 0:
 		return &ErrInvalid{field, "has a negative need or estimate"}
 	case t.Estimate > MaxEstimate:
@@ -148,11 +166,6 @@
 	case t.PerWorker < 0 || t.MayMiss < 0 || t.TailTarget < 0:
 		return &ErrInvalid{field, "has a negative bound"}
 	}
-	for _, a := range t.After {
-		if a < 0 || a >= index {
-			return &ErrInvalid{field, "depends on a step that is not before it"}
-		}
-	}
 	return nil
 }
 
--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -13,18 +13,22 @@
 // Versions of the stored formats. Rows of a newer version are refused, so that an
 // older program never drops fields that it does not know.
 const (
-	// submissionAccountVersion is the version for jobs of a client account. Other jobs are
-	// written in the first version, which older programs read.
-	submissionAccountVersion = 2
-	submissionPlainVersion   = 1
+	// submissionScheduleVersion is the version for jobs with a long schedule, which older
+	// programs would lay out in full, submissionAccountVersion the one for jobs of a client
+	// account. Other jobs are written in the first version, which older programs read.
+	submissionScheduleVersion = 3
+	submissionAccountVersion  = 2
+	submissionPlainVersion    = 1
+	// progressScheduleVersion is the version for progress that lists only the open occurrences.
 	// progressCopyVersion is the version for progress in which a task has a speculative copy,
 	// or still runs under a lower number than its copy had; progressAccountVersion the one for
 	// jobs of a client account, progressCrashVersion the one for progress with crashes. Other
 	// progress is written in the first version, which older programs read.
-	progressCopyVersion    = 4
-	progressAccountVersion = 3
-	progressCrashVersion   = 2
-	progressPlainVersion   = 1
+	progressScheduleVersion = 5
+	progressCopyVersion     = 4
+	progressAccountVersion  = 3
+	progressCrashVersion    = 2
+	progressPlainVersion    = 1
 )
 
 // ErrNewerFormat reports a stored record that a newer program wrote.
@@ -39,6 +43,14 @@
 	return "decode stored record: format " + strconv.Itoa(e.Version) + " is newer than supported format " + strconv.Itoa(e.Known)
 }
 
+// ErrMismatchedNumbers reports stored progress that does not number each of its occurrences.
+type ErrMismatchedNumbers struct{ Numbers, Occurrences int }
+
+// Error implements error.
+func (e *ErrMismatchedNumbers) Error() string {
+	return "decode stored progress: " + strconv.Itoa(e.Numbers) + " numbers for " + strconv.Itoa(e.Occurrences) + " occurrences"
+}
+
 type storedSubmission struct {
 	Format int `json:"format"`
 	Submission
@@ -47,7 +59,10 @@
 // EncodeSubmission returns the stored format of a submission.
 func EncodeSubmission(s Submission) ([]byte, error) {
 	stored := storedSubmission{Format: submissionPlainVersion, Submission: s}
-	if s.Account != "" {
+	switch {
+	case s.LongSchedule():
+		stored.Format = submissionScheduleVersion
+	case s.Account != "":
 		stored.Format = submissionAccountVersion
 	}
 	data, err := json.Marshal(stored)
@@ -60,8 +75,8 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return Submission{}, trace.Wrap(err)
 	}
-	if s.Format > submissionAccountVersion {
-		return Submission{}, &ErrNewerFormat{Version: s.Format, Known: submissionAccountVersion}
+	if s.Format > submissionScheduleVersion {
+		return Submission{}, &ErrNewerFormat{Version: s.Format, Known: submissionScheduleVersion}
 	}
 	return s.Submission, nil
 }
@@ -109,20 +124,49 @@
 	State State
 	// Account is the job's account, which decides who may look the job up.
 	Account mothferry.AccountID
-	// Occurrences holds the steps of each occurrence; empty for a finished job.
+	// Occurrences holds the steps of occurrences; empty for a finished job. If Open is nil, they
+	// are those from number 0 on.
 	Occurrences [][]StepProgress
+	// Open lists the open occurrences of a long schedule; nil for other jobs.
+	Open *OpenOccurrences
 	// AfterSegment is the number of the newest segment of the shard's log when this was
 	// written; zero for progress in the log itself. Older programs decide by it which of the
 	// two is newer.
 	AfterSegment uint64
 }
 
+// OpenOccurrences tells which occurrences have begun and are not done.
+type OpenOccurrences struct {
+	// Begun is how many occurrences have begun.
+	Begun int `json:"begun"`
+	// Numbers holds the numbers of Progress.Occurrences, in ascending order. The others below
+	// Begun are done.
+	Numbers []int `json:"numbers"`
+}
+
+// Number returns the number of the occurrence at an index of Occurrences.
+func (p Progress) Number(index int) int {
+	if p.Open == nil {
+		return index
+	}
+	return p.Open.Numbers[index]
+}
+
+// Begun returns how many occurrences have begun.
+func (p Progress) Begun() int {
+	if p.Open == nil {
+		return len(p.Occurrences)
+	}
+	return p.Open.Begun
+}
+
 type storedProgress struct {
 	Format int   `json:"format"`
 	State  State `json:"state"`
 	// Account is empty for a job without an account.
 	Account mothferry.AccountID `json:"account,omitempty"`
 	Steps   [][]storedStep      `json:"steps,omitempty"`
+	Open    *OpenOccurrences    `json:"open,omitempty"`
 	After   uint64              `json:"after,omitempty"`
 }
 
@@ -145,6 +189,13 @@
 		b = append(b, `,"steps":`...)
 		b = appendList(b, p.Occurrences, func(b []byte, o []StepProgress) []byte { return appendList(b, o, appendStep) })
 	}
+	if p.Open != nil && !p.State.Final() {
+		b = append(b, `,"open":{"begun":`...)
+		b = strconv.AppendInt(b, int64(p.Open.Begun), 10)
+		b = append(b, `,"numbers":`...)
+		b = appendList(b, p.Open.Numbers, func(b []byte, number int) []byte { return strconv.AppendInt(b, int64(number), 10) })
+		b = append(b, '}')
+	}
 	if p.AfterSegment > 0 {
 		b = append(b, `,"after":`...)
 		b = strconv.AppendUint(b, p.AfterSegment, 10)
@@ -154,6 +205,9 @@
 
 // version returns the lowest version that can represent the progress.
 func (p Progress) version() int {
+	if p.Open != nil && !p.State.Final() {
+		return progressScheduleVersion
+	}
 	if p.anyTask(TaskProgress.hasCopy) {
 		return progressCopyVersion
 	}
@@ -273,10 +327,13 @@
 	if err := json.Unmarshal(data, &stored); err != nil {
 		return Progress{}, trace.Wrap(err)
 	}
-	if stored.Format > progressCopyVersion {
-		return Progress{}, &ErrNewerFormat{Version: stored.Format, Known: progressCopyVersion}
+	if stored.Format > progressScheduleVersion {
+		return Progress{}, &ErrNewerFormat{Version: stored.Format, Known: progressScheduleVersion}
+	}
+	if stored.Open != nil && len(stored.Open.Numbers) != len(stored.Steps) {
+		return Progress{}, &ErrMismatchedNumbers{Numbers: len(stored.Open.Numbers), Occurrences: len(stored.Steps)}
 	}
-	p := Progress{State: stored.State, Account: stored.Account, AfterSegment: stored.After}
+	p := Progress{State: stored.State, Account: stored.Account, AfterSegment: stored.After, Open: stored.Open}
 	for _, o := range stored.Steps {
 		var steps []StepProgress
 		for _, s := range o {
--- a/mfsched/advice.go
+++ b/mfsched/advice.go
@@ -45,10 +45,14 @@
 // tickets expire.
 func (s *State) adviceAnswered(e AdviceAnswered) {
 	j, ok := s.jobs[e.Step.Job]
-	if !ok || e.Step.Occurrence >= len(j.occurrences) {
+	if !ok {
 		return
 	}
-	p := j.occurrences[e.Step.Occurrence].steps[e.Step.Step]
+	o := j.occurrence(e.Step.Occurrence)
+	if o == nil {
+		return
+	}
+	p := o.steps[e.Step.Step]
 	p.advicePending = false
 	if e.Tickets == nil {
 		return
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -18,13 +18,17 @@
 		s.jobFinished(JobFinished{Job: e.Job, State: e.Progress.State, Submission: e.Submission}, now)
 		return
 	}
-	j := &job{id: e.Job, submission: e.Submission, state: mfjob.StateQueued, criticalPath: e.Submission.CriticalPath(), account: s.accountOf(e.Submission.Account)}
+	j := &job{id: e.Job, submission: e.Submission, state: mfjob.StateQueued, account: s.accountOf(e.Submission.Account)}
 	j.flow = s.flowOf(s.queueOf(j).Service, e.Submission.Account)
 	s.jobs[e.Job] = j
 	s.live[e.Job] = j
-	for k := range e.Submission.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, k, now))
+	if err := e.Submission.CheckSteps(); err != nil {
+		s.emit(Decision{Message: "stored job can't be laid out", Job: j.id, Fields: map[string]any{"error": err.Error()}})
+		j.rowStored = e.Progress != nil
+		s.finishJob(j, mfjob.StateFailed, now)
+		return
 	}
+	j.criticalPath = e.Submission.CriticalPath()
 	if e.Progress == nil && s.loaded {
 		// With fair shares an account's jobs keep their order of arrival: later jobs within
 		// the rate would otherwise delay earlier ones that hosts have admitted as on time.
@@ -39,6 +43,8 @@
 		j.state, j.rowStored = e.Progress.State, true
 		s.restore(j, *e.Progress, now)
 	}
+	s.upcoming[j.id] = j
+	s.beginDue(j, now)
 	if s.cancelledEarly[e.Job] {
 		delete(s.cancelledEarly, e.Job)
 		s.cancel(e.Job, now)
@@ -61,10 +67,7 @@
 }
 
 func newOccurrence(j *job, number int, now time.Time) *occurrence {
-	o := &occurrence{}
-	if j.submission.Repeat > 0 {
-		o.scheduledAt = j.submission.First.Add(time.Duration(number) * j.submission.Interval)
-	}
+	o := &occurrence{number: number, scheduledAt: j.submission.ScheduledAt(number)}
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
 		p := &step{name: StepName{Job: j.id, Occurrence: number, Step: i}, spec: spec, remaining: spec.Count, waiting: spec.Count}
@@ -80,20 +83,29 @@
 // restore sets a job to the progress that a previous owner stored. Runs that may be on a
 // worker stay unresolved until that worker is fenced and polled.
 func (s *State) restore(j *job, p mfjob.Progress, now time.Time) {
+	j.begun = min(p.Begun(), j.submission.Occurrences())
+	j.started = j.begun > len(p.Occurrences)
 	for k, steps := range p.Occurrences {
-		for i, stored := range steps {
-			if k >= len(j.occurrences) || i >= len(j.occurrences[k].steps) {
-				continue
-			}
-			st := j.occurrences[k].steps[i]
-			for x, t := range st.tasks {
-				switch {
-				case stored.Done:
-					s.finishTask(t)
-				case x < len(stored.Tasks):
-					s.restoreTask(t, stored.Tasks[x], now)
-				}
-			}
+		if p.Number(k) >= j.begun {
+			break
+		}
+		o := newOccurrence(j, p.Number(k), now)
+		j.occurrences = append(j.occurrences, o)
+		for i, stored := range steps[:min(len(steps), len(o.steps))] {
+			s.restoreStep(o.steps[i], stored, now)
+		}
+	}
+	j.dropDoneOccurrences()
+}
+
+func (s *State) restoreStep(st *step, p mfjob.StepProgress, now time.Time) {
+	for x, t := range st.tasks {
+		switch {
+		case p.Done:
+			t.job.started = true
+			s.finishTask(t)
+		case x < len(p.Tasks):
+			s.restoreTask(t, p.Tasks[x], now)
 		}
 	}
 }
@@ -200,6 +212,7 @@
 	j.state, j.finishedAt = state, now
 	s.markDirty(j)
 	delete(s.live, j.id)
+	delete(s.upcoming, j.id)
 	s.finishedJobs = append(s.finishedJobs, j)
 	for t := range j.tasks() {
 		if t.copyTask != nil {
@@ -226,8 +239,8 @@
 		return EndCancelled
 	}
 	start := j.submission.Accepted
-	if last := len(j.occurrences) - 1; last >= 0 && !j.occurrences[last].scheduledAt.IsZero() {
-		start = j.occurrences[last].scheduledAt
+	if last := j.submission.ScheduledAt(j.submission.Occurrences() - 1); !last.IsZero() {
+		start = last
 	}
 	q := s.queueOf(j)
 	objective := mfjob.Objective(q.Stretch, q.Latency, j.criticalPath)
@@ -261,16 +274,40 @@
 	if j.state.Final() {
 		return p
 	}
-	for _, o := range j.occurrences {
-		var steps []mfjob.StepProgress
-		for _, st := range o.steps {
-			steps = append(steps, progressOfStep(st))
+	if j.submission.LongSchedule() {
+		p.Open = &mfjob.OpenOccurrences{Begun: j.begun}
+		for _, o := range j.occurrences {
+			p.Occurrences = append(p.Occurrences, progressOfOccurrence(o))
+			p.Open.Numbers = append(p.Open.Numbers, o.number)
 		}
-		p.Occurrences = append(p.Occurrences, steps)
+		return p
+	}
+	for number := range j.begun {
+		if o := j.occurrence(number); o != nil {
+			p.Occurrences = append(p.Occurrences, progressOfOccurrence(o))
+			continue
+		}
+		p.Occurrences = append(p.Occurrences, doneOccurrence(j))
 	}
 	return p
 }
 
+func progressOfOccurrence(o *occurrence) []mfjob.StepProgress {
+	var steps []mfjob.StepProgress
+	for _, st := range o.steps {
+		steps = append(steps, progressOfStep(st))
+	}
+	return steps
+}
+
+func doneOccurrence(j *job) []mfjob.StepProgress {
+	steps := make([]mfjob.StepProgress, len(j.submission.Steps))
+	for i := range steps {
+		steps[i].Done = true
+	}
+	return steps
+}
+
 func progressOfStep(st *step) mfjob.StepProgress {
 	if st.remaining == 0 {
 		return mfjob.StepProgress{Done: true}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -269,19 +269,15 @@
 	t.worker.nextPoll = now
 }
 
-// stepDone completes the job once all its steps are done.
+// stepDone completes the job once all its occurrences are done.
 func (s *State) stepDone(j *job, now time.Time) {
 	if j.state.Final() {
 		return
 	}
-	for _, o := range j.occurrences {
-		for _, p := range o.steps {
-			if p.remaining > 0 {
-				return
-			}
-		}
+	j.dropDoneOccurrences()
+	if len(j.occurrences) == 0 && j.begun == j.submission.Occurrences() {
+		s.finishJob(j, mfjob.StateCompleted, now)
 	}
-	s.finishJob(j, mfjob.StateCompleted, now)
 }
 
 // taskFailed counts a failed run and fails the job once the task has no attempt left. Lasting
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -147,7 +147,9 @@
 	validUntil time.Time
 }
 
+// occurrence is an open occurrence of a job: it has begun and is not done.
 type occurrence struct {
+	number      int
 	scheduledAt time.Time
 	steps       []*step
 }
@@ -161,9 +163,13 @@
 	// flow is what the tasks of the job's account use of its service.
 	flow *flowUsage
 	// overRate reports whether the job exceeds its account's rate.
-	overRate    bool
-	state       mfjob.State
+	overRate bool
+	state    mfjob.State
+	// occurrences holds the open occurrences in the order of their numbers, begun is how many
+	// have begun. heldBack reports whether due occurrences ever had to wait for open ones.
 	occurrences []*occurrence
+	begun       int
+	heldBack    bool
 	// started reports whether a run was ever planned.
 	started bool
 	// dirty reports whether a change is in no commit yet, rowStored whether the job's own row
@@ -190,8 +196,10 @@
 	services map[mothferry.ServiceID]bool
 	jobs     map[mothferry.JobID]*job
 	// live holds the jobs that are not finished.
-	live    map[mothferry.JobID]*job
-	workers map[mothferry.WorkerID]*worker
+	live map[mothferry.JobID]*job
+	// upcoming holds the live jobs of which not all occurrences have begun.
+	upcoming map[mothferry.JobID]*job
+	workers  map[mothferry.WorkerID]*worker
 	// sortedWorkers holds the same workers ordered by id, so that the same events always
 	// produce the same commands in the same order.
 	sortedWorkers []*worker
@@ -270,7 +278,7 @@
 	return &State{
 		Limits: limits, Epoch: epoch, PriorLeaseEnd: priorLeaseEnd, lastCommit: takenOver,
 		queues: map[mothferry.QueueID]Queue{},
-		jobs:   map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
+		jobs:   map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, upcoming: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
 		toEvacuate:     map[mothferry.WorkerID]bool{},
 		unresolvedEnds: map[mothferry.WorkerID]unresolvedEnd{},
 		accounts:       map[mothferry.AccountID]*account{},
@@ -347,11 +355,11 @@
 // lookUp returns a task by name, or nil.
 func (s *State) lookUp(n mothferry.TaskName) *task {
 	j, ok := s.jobs[n.Job]
-	if !ok || n.Occurrence >= len(j.occurrences) {
+	if !ok {
 		return nil
 	}
-	o := j.occurrences[n.Occurrence]
-	if n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
+	o := j.occurrence(n.Occurrence)
+	if o == nil || n.Step >= len(o.steps) || n.Index >= len(o.steps[n.Step].tasks) {
 		return nil
 	}
 	return o.steps[n.Step].tasks[n.Index]
--- a/mfsched/straggler.go
+++ b/mfsched/straggler.go
@@ -263,10 +263,9 @@
 // job not to be too late.
 func (s *State) timeLeft(t *task, r *relocationCapacity, now time.Time) (untilLate, untilTooLate time.Duration) {
 	j, q := t.job, s.queueOf(t.job)
-	o := j.occurrences[t.name.Occurrence]
 	from := j.submission.Accepted
-	if !o.scheduledAt.IsZero() {
-		from = o.scheduledAt
+	if at := j.submission.ScheduledAt(t.name.Occurrence); !at.IsZero() {
+		from = at
 	}
 	corrected, known := r.corrected[j]
 	if !known {
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -33,6 +33,7 @@
 	if s.commitInFlight || now.Sub(s.lastCommit) < minCommitInterval {
 		return
 	}
+	s.beginDueOccurrences(now)
 	s.place(now)
 	s.commit(now)
 }
