Submitted numbers do not wrap

Callers saw: a task with est_ms or mem_mb 2^44 + 1 was accepted as one of 0.4 ms or 1 MiB, an interval_ms of that size made occurrences start before they were due, and a first_ms beyond the year 9999 was answered 503 for ever, as such a time can't be stored.

--- a/mfjob/job.go
+++ b/mfjob/job.go
@@ -100,8 +100,15 @@
 	MaxTasks     = 1000
 	// MaxEstimate keeps sums over a job's steps from overflowing a duration.
 	MaxEstimate = 365 * 24 * time.Hour
+	MaxInterval = 100 * MaxEstimate
+	// minFirstYear and maxFirstYear bound the first time by what its stored form holds.
+	minFirstYear, maxFirstYear = 0, 9999
 )
 
+// MaxNeed is the largest need of a task. It is beyond any machine, and keeps sums over the tasks of
+// a job from overflowing.
+var MaxNeed = mothferry.Resources{Cores: 1 << 40, Memory: 1 << 50, Accelerators: 1 << 40}
+
 // ErrInvalid reports an invalid submission.
 type ErrInvalid struct {
 	Field  string
@@ -118,6 +125,10 @@
 		return &ErrInvalid{"spec", fmt.Sprintf("is longer than %d bytes", MaxSpecBytes)}
 	case s.Repeat < 0 || s.Repeat > 1 && s.Interval < 0:
 		return &ErrInvalid{"repetition", "is negative"}
+	case s.Repeat > 1 && s.Interval > MaxInterval:
+		return &ErrInvalid{"interval", "is longer than a hundred years"}
+	case s.First.Year() < minFirstYear || s.First.Year() > maxFirstYear:
+		return &ErrInvalid{"first time", fmt.Sprintf("is outside the years %d to %d", minFirstYear, maxFirstYear)}
 	}
 	if err := s.CheckSteps(); err != nil {
 		return err
@@ -161,6 +172,8 @@
 	switch {
 	case t.Need.Cores < 0 || t.Need.Memory < 0 || t.Need.Accelerators < 0 || t.Estimate < 0:
 		return &ErrInvalid{field, "has a negative need or estimate"}
+	case !t.Need.Fits(MaxNeed):
+		return &ErrInvalid{field, "needs more than any machine has"}
 	case t.Estimate > MaxEstimate:
 		return &ErrInvalid{field, "is estimated to take longer than a year"}
 	case t.PerWorker < 0 || t.MayMiss < 0 || t.TailTarget < 0:
--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -78,9 +78,22 @@
 	if s.Format > submissionScheduleVersion {
 		return Submission{}, &ErrNewerFormat{Version: s.Format, Known: submissionScheduleVersion}
 	}
+	s.bound()
 	return s.Submission, nil
 }
 
+// bound reduces needs and estimates beyond the limits, which older programs accepted. Such tasks
+// still fit no machine.
+func (s *Submission) bound() {
+	for i := range s.Steps {
+		t := &s.Steps[i]
+		t.Need.Cores = min(t.Need.Cores, MaxNeed.Cores)
+		t.Need.Memory = min(t.Need.Memory, MaxNeed.Memory)
+		t.Need.Accelerators = min(t.Need.Accelerators, MaxNeed.Accelerators)
+		t.Estimate = min(t.Estimate, MaxEstimate)
+	}
+}
+
 // TaskProgress is the persistent state of one task.
 type TaskProgress struct {
 	Done bool
--- a/mfjob/schedule_test.go
+++ b/mfjob/schedule_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"mothferry"
 	"mothferry/mfjob"
 )
 
@@ -87,3 +88,29 @@
 	_, err := mfjob.DecodeProgress([]byte(`{"format":5,"state":"running","steps":[[{}],[{}]],"open":{"begun":9,"numbers":[3]}}`))
 	assert.ErrorType(t, err, &mfjob.ErrMismatchedNumbers{})
 }
+
+// Guards against an objective that wraps, by which a job would be too late as soon as it arrives.
+func TestObjectiveDoesNotWrap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stretch := rapid.Float64Range(0, 1e6).Draw(t, "stretch")
+		latency := time.Duration(rapid.Int64Range(0, math.MaxInt64).Draw(t, "latency"))
+		criticalPath := time.Duration(rapid.Int64Range(0, mfjob.MaxSteps*int64(mfjob.MaxEstimate)).Draw(t, "critical path"))
+		objective := mfjob.Objective(stretch, latency, criticalPath)
+		assert.Assert(t, objective >= 0)
+		assert.Assert(t, mfjob.TooLateFactor*objective >= objective)
+	})
+}
+
+// Guards against sums over needs that an older program accepted without a bound.
+func TestStoredNeedsAreBounded(t *testing.T) {
+	s := scheduledJob(time.Unix(0, 0), 0, 0, 2)
+	s.Steps[0].Need = mothferry.Resources{Cores: math.MaxInt64, Memory: math.MaxInt64, Accelerators: math.MaxInt64}
+	s.Steps[0].Estimate = math.MaxInt64
+	data, err := mfjob.EncodeSubmission(s)
+	assert.NilError(t, err)
+	got, err := mfjob.DecodeSubmission(data)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Steps[0].Need, mfjob.MaxNeed)
+	assert.Equal(t, got.Steps[0].Estimate, mfjob.MaxEstimate)
+	assert.NilError(t, got.Check())
+}
--- a/mfsched/demand.go
+++ b/mfsched/demand.go
@@ -54,18 +54,14 @@
 	if !s.sharesEnabled() {
 		return func(mothferry.AccountID) float64 { return 1 }
 	}
-	waiting := map[mothferry.AccountID]mothferry.Resources{}
+	waiting := map[mothferry.AccountID]mfdemand.Amount{}
 	for _, j := range s.live {
 		for _, o := range j.occurrences {
 			if o.scheduledAt.After(now) {
 				break
 			}
 			for _, p := range readySteps(o) {
-				sum := waiting[j.submission.Account]
-				for range p.waiting {
-					sum = sum.Add(p.spec.Need)
-				}
-				waiting[j.submission.Account] = sum
+				waiting[j.submission.Account] = waiting[j.submission.Account].Add(mfdemand.AmountOf(p.spec.Need).Times(float64(p.waiting)))
 			}
 		}
 	}
@@ -74,18 +70,18 @@
 		if !ok {
 			return 1
 		}
-		available, wanted := a.Limit.Sub(a.used), waiting[id]
-		return min(coveredFraction(available.Cores, wanted.Cores, a.Limit.Cores), coveredFraction(available.Memory, wanted.Memory, a.Limit.Memory))
+		limit, available, wanted := mfdemand.AmountOf(a.Limit), mfdemand.AmountOf(a.Limit.Sub(a.used)), waiting[id]
+		return min(coveredFraction(available.Cores, wanted.Cores, limit.Cores), coveredFraction(available.Memory, wanted.Memory, limit.Memory))
 	}
 }
 
 // coveredFraction returns the fraction of what is wanted that is left of a limit; a limit of zero
 // bounds nothing.
-func coveredFraction[N ~int64](available, wanted, limit N) float64 {
+func coveredFraction(available, wanted, limit float64) float64 {
 	if limit == 0 || wanted <= 0 {
 		return 1
 	}
-	return max(0, min(1, float64(available)/float64(wanted)))
+	return max(0, min(1, available/wanted))
 }
 
 // addStepDemand adds a step's demand, given the fraction of its waiting work that may start.
@@ -95,7 +91,7 @@
 	case p.spec.Lasting:
 		d.Lasting = d.Lasting.Add(capacity.Times(float64(p.remaining)))
 		if p.spec.PerWorker > 0 {
-			d.MinWorkers = max(d.MinWorkers, (p.spec.Count+p.spec.PerWorker-1)/p.spec.PerWorker)
+			d.MinWorkers = max(d.MinWorkers, (p.spec.Count-1)/p.spec.PerWorker+1)
 		}
 		return
 	case p.remaining == 0:
