mfsched: jobs keep the terms of their queue when it leaves the config

Cause: a job whose queue is not in the config in force got one attempt, the lowest priority, no latency in its objective and no advice (queueOf); only the service was stored with the job.

Evidence: the log did not tell a job that used up its attempts from one given up for crashes. Ruled out: the crash limits, as the new line is written before they are looked at.

Fix: hosts store the queue's terms with the job. Where the queue is missing, the one that has its host, prefix and service applies, otherwise the stored terms, so that owners agree after a takeover and beside hosts with another config. For jobs that were stored without terms the owner keeps those last in force; if it knows none, the fewest attempts of the service's queues apply. The formats' numbers stay: older programs ignore the field.

--- a/mfjob/job.go
+++ b/mfjob/job.go
@@ -70,6 +70,23 @@
 	return need
 }
 
+// QueueTerms are the terms on which a queue accepted a job. They apply while the config in force
+// has no such queue: it was removed, or this owner does not know it yet.
+type QueueTerms struct {
+	// Host and Prefix select the requests that belong to the queue.
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	// Priority 0 comes first.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts is how many runs of a task may fail before its job fails.
+	MaxAttempts int `json:"attempts"`
+	// A job should be completed within Stretch times its critical path plus Latency.
+	Stretch float64       `json:"stretch"`
+	Latency time.Duration `json:"latency,omitempty"`
+	// Advised reports whether the adviser decides which workers may run a step.
+	Advised bool `json:"advised,omitempty"`
+}
+
 // Submission is a job as it was submitted and accepted.
 type Submission struct {
 	Queue mothferry.QueueID `json:"queue"`
@@ -77,8 +94,10 @@
 	Account mothferry.AccountID `json:"account,omitempty"`
 	// Service is the service of the queue at the time the job was accepted.
 	Service mothferry.ServiceID `json:"service"`
-	Spec    string              `json:"spec"`
-	Steps   []Step              `json:"steps"`
+	// Terms are those of the queue at that time; nil for jobs that an older program accepted.
+	Terms *QueueTerms `json:"terms,omitempty"`
+	Spec  string      `json:"spec"`
+	Steps []Step      `json:"steps"`
 	// Repeat is how many times the steps run; 0 for once, immediately.
 	Repeat int `json:"repeat,omitempty"`
 	// First is when the first occurrence is due.
--- a/mfjob/job_test.go
+++ b/mfjob/job_test.go
@@ -142,3 +142,19 @@
 	assert.Equal(t, s.CriticalPathAfter(1), 3*time.Second)
 	assert.Equal(t, s.CriticalPathAfter(2), time.Duration(0))
 }
+
+// Guards against older programs that refuse a job for the terms of its queue, which they don't
+// need; a job that they stored has none.
+func TestTermsKeepTheFormat(t *testing.T) {
+	job := mfjob.Submission{Queue: "q", Steps: []mfjob.Step{{Count: 1}}}
+	without, err := mfjob.EncodeSubmission(job)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(without), "terms"))
+	job.Terms = &mfjob.QueueTerms{Host: "h", Prefix: "/p/", Priority: 1, MaxAttempts: 3, Stretch: 1.6, Latency: time.Second, Advised: true}
+	with, err := mfjob.EncodeSubmission(job)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(with), `{"format":1`), "%s", with)
+	got, err := mfjob.DecodeSubmission(with)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Terms, job.Terms)
+}
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -230,7 +230,7 @@
 	for _, q := range c.Queues {
 		e.Services[q.Service] = true
 		e.Queues[q.ID] = mfsched.Queue{
-			Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
+			Service: q.Service, Host: q.Host, Prefix: q.Prefix, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 			Stretch: q.Stretch, Latency: q.Latency, Advised: q.Advised,
 		}
 	}
--- a/mfqueue/queue.go
+++ b/mfqueue/queue.go
@@ -8,6 +8,7 @@
 
 	"mothferry"
 	"mothferry/mfaccount"
+	"mothferry/mfjob"
 )
 
 // Queue is one queue of jobs.
@@ -32,6 +33,14 @@
 	Open bool
 }
 
+// Terms returns the terms on which the queue accepts jobs now.
+func (q Queue) Terms() *mfjob.QueueTerms {
+	return &mfjob.QueueTerms{
+		Host: q.Host, Prefix: q.Prefix, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
+		Stretch: q.Stretch, Latency: q.Latency, Advised: q.Advised,
+	}
+}
+
 // Service is one pool of workers.
 type Service struct {
 	ID mothferry.ServiceID
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -13,6 +13,8 @@
 // Queue is the configuration in force of a queue.
 type Queue struct {
 	Service mothferry.ServiceID
+	// Host and Prefix select the requests that belong to the queue.
+	Host, Prefix string
 	// Priority 0 comes first.
 	Priority int
 	// MaxAttempts is how many runs of a task may fail before its job fails.
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -288,7 +288,11 @@
 	if t.step.spec.Lasting || t.job.state.Final() {
 		return
 	}
-	if t.failures >= s.queueOf(t.job).MaxAttempts {
+	if attempts := s.queueOf(t.job).MaxAttempts; t.failures >= attempts {
+		_, inConfig := s.queues[t.job.submission.Queue]
+		s.emit(Decision{Message: "task has no attempts left", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{
+			"step": t.name.Step, "index": t.name.Index, "failures": t.failures, "attempts": attempts, "queue": t.job.submission.Queue, "queue_in_config": inConfig,
+		}})
 		s.finishJob(t.job, mfjob.StateFailed, now)
 		return
 	}
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -192,6 +192,10 @@
 
 	loaded bool
 	queues map[mothferry.QueueID]Queue
+	// queueAt holds the queues by what they serve, strictest the queue of each service with the
+	// fewest attempts.
+	queueAt   map[queueAddress]mothferry.QueueID
+	strictest map[mothferry.ServiceID]Queue
 	// services holds the services that the config names; nil if that is not known.
 	services map[mothferry.ServiceID]bool
 	jobs     map[mothferry.JobID]*job
@@ -295,8 +299,7 @@
 	s.commands = nil
 	switch v := e.(type) {
 	case ConfigChanged:
-		s.queues, s.services = v.Queues, v.Services
-		s.applyAccounts(v.Accounts)
+		s.configChanged(v)
 	case JobFound:
 		s.jobFound(v, now)
 	case JobFinished:
@@ -339,19 +342,6 @@
 
 func (s *State) emit(c Command) { s.commands = append(s.commands, c) }
 
-// queueOf returns the queue of a job by the config in force. A job whose queue was removed
-// keeps the service for which it was accepted.
-func (s *State) queueOf(j *job) Queue {
-	q, ok := s.queues[j.submission.Queue]
-	if !ok {
-		return Queue{Service: j.submission.Service, Priority: lowestPriority, MaxAttempts: 1, Stretch: 1}
-	}
-	return q
-}
-
-// lowestPriority is the priority of jobs whose queue is no longer in the config.
-const lowestPriority = 1 << 20
-
 // lookUp returns a task by name, or nil.
 func (s *State) lookUp(n mothferry.TaskName) *task {
 	j, ok := s.jobs[n.Job]
@@ -364,15 +354,3 @@
 	}
 	return o.steps[n.Step].tasks[n.Index]
 }
-
-// Pending returns how many accepted jobs of each queue have not started. The count is not
-// known until all stored jobs have been loaded.
-func (s *State) Pending() (map[mothferry.QueueID]int, bool) {
-	pending := map[mothferry.QueueID]int{}
-	for _, j := range s.live {
-		if !j.started {
-			pending[j.submission.Queue]++
-		}
-	}
-	return pending, s.loaded
-}
