A job's stored progress always fits the store

Cause: the progress with the checkpoint of each task was one row of 250 kB, beyond the 64 KiB that the store takes. The store refused the transaction; the owner sent the same again without end, and so did each successor.

Progress that does not fit is stored without some checkpoints, those of running tasks first, as their workers know them. A job whose row is full without checkpoints starts no further task until some end; its size is counted with what a crash would add. Commits and moved log entries are bounded by bytes. The emulator now checks the rows of each commit.

Stored forms do not change.

--- a/mfemulate/store.go
+++ b/mfemulate/store.go
@@ -77,6 +77,7 @@
 		o.dead = true
 		return
 	}
+	w.checkSizes(rows)
 	maps.Copy(w.committed, c.Progress)
 	w.recordStoredStates(rows)
 	o.lastCommitAt = w.now
@@ -87,6 +88,21 @@
 	w.after(delay, func() { o.do(func() { o.step(mfsched.CommitDone{Number: c.Number}) }) })
 }
 
+// maxCommitRows is how many rows a commit may have besides the head.
+const maxCommitRows = 98
+
+// checkSizes checks a commit against what stores of current deployments take.
+func (w *World) checkSizes(rows []mothferry.Write) {
+	if len(rows) > maxCommitRows {
+		w.violation("a commit has %d rows", len(rows))
+	}
+	for _, r := range rows {
+		if len(r.Value) > int(mfjournal.DefaultMaxRow) {
+			w.violation("row %s of table %s has %d bytes", r.Key, r.Table, len(r.Value))
+		}
+	}
+}
+
 // recordStoredStates records the job states that callers can read after a commit: those in the
 // jobs' own rows.
 func (w *World) recordStoredStates(rows []mothferry.Write) {
--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -316,7 +316,7 @@
 // AppendText appends a JSON string. Ids are plain ASCII, which needs no escapes.
 func AppendText(b []byte, s string) []byte {
 	for i := range len(s) {
-		if s[i] < ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
+		if !plain(s[i]) {
 			return appendEscaped(b, s)
 		}
 	}
--- a/mfjournal/journal.go
+++ b/mfjournal/journal.go
@@ -29,15 +29,20 @@
 	MaxRows = 90
 	// MaxOwnRows is the largest number of jobs that need rows of their own in one call of Write.
 	MaxOwnRows = 60
-	// maxSegmentBytes limits the value of a log row with several jobs; the store takes up to
-	// 65,536 bytes.
+	// DefaultMaxRow is the largest value that the stores of current deployments take.
+	DefaultMaxRow = 64 * mothferry.Kibibyte
+	// maxSegmentBytes limits the value of a log row with several jobs.
 	maxSegmentBytes = 48 << 10
+	// segmentOverhead is the size of a log row with one job without the job's progress.
+	segmentOverhead = 128
 	// maxSegments is how many rows the log may have before the live entries of the oldest ones
 	// are moved to the jobs' own rows. A new owner reads them all; with 35 commits a second
 	// they hold two seconds of changes, as long as most jobs take.
 	maxSegments = 64
-	// maxMovedRows is the largest number of entries that one commit moves.
-	maxMovedRows = 12
+	// maxMovedRows is the largest number of entries that one commit moves, maxMovedBytes the size
+	// from which on it moves no further one.
+	maxMovedRows  = 12
+	maxMovedBytes = 96 << 10
 )
 
 // logFormat is the format version of the log's rows.
@@ -58,6 +63,10 @@
 	// slow link makes few commits with many changes each, and a new owner on such a link takes
 	// seconds to read them.
 	MaxLog mothferry.Bytes
+	// MaxRow is the largest value that the store takes; zero for DefaultMaxRow.
+	MaxRow mothferry.Bytes
+	// Omitted counts the checkpoints that were left out of rows because they did not fit.
+	Omitted int
 
 	// lastSegment is the number of the newest segment; zero for none.
 	lastSegment uint64
@@ -111,16 +120,16 @@
 		j.unlink(id)
 		if p.State.Final() {
 			delete(j.jobs, id)
-			rows = append(rows, ownRow(id, p, 0))
+			rows = append(rows, j.ownRow(id, p, 0))
 			continue
 		}
 		e := &entry{progress: p}
 		j.jobs[id] = e
 		if own {
-			rows = append(rows, ownRow(id, p, j.lastSegment))
+			rows = append(rows, j.ownRow(id, p, j.lastSegment))
 			continue
 		}
-		text := mfjob.EncodeProgress(p)
+		text := j.encode(p, segmentOverhead)
 		if !s.fits(text) {
 			rows = append(rows, j.addSegment(s))
 			s = &segment{}
@@ -163,18 +172,18 @@
 // too many segments or they are too large together.
 func (j *Journal) moveOldEntries(changed map[mothferry.JobID]mfjob.Progress) []mothferry.Write {
 	var rows []mothferry.Write
-	size := mothferry.Bytes(0)
+	moved, size := 0, mothferry.Bytes(0)
 	for _, bytes := range j.sizes {
 		size += bytes
 	}
 	for _, n := range j.storedSegments() {
 		tooLarge := j.MaxLog > 0 && size > j.MaxLog
-		if n+maxSegments > j.lastSegment && !tooLarge || len(rows) >= maxMovedRows {
+		if n+maxSegments > j.lastSegment && !tooLarge || len(rows) >= maxMovedRows || moved >= maxMovedBytes {
 			break
 		}
 		size -= j.sizes[n]
 		for _, id := range slices.Sorted(maps.Keys(j.live[n])) {
-			if len(rows) >= maxMovedRows {
+			if len(rows) >= maxMovedRows || moved >= maxMovedBytes {
 				break
 			}
 			if _, rewritten := changed[id]; rewritten {
@@ -183,7 +192,8 @@
 			e := j.live[n][id]
 			delete(j.live[n], id)
 			e.segment = 0
-			rows = append(rows, ownRow(id, e.progress, j.lastSegment))
+			rows = append(rows, j.ownRow(id, e.progress, j.lastSegment))
+			moved += len(rows[len(rows)-1].Value)
 		}
 	}
 	return rows
@@ -204,9 +214,20 @@
 }
 
 // ownRow returns a job's own row; after is the newest segment at the time of the write.
-func ownRow(id mothferry.JobID, p mfjob.Progress, after uint64) mothferry.Write {
+func (j *Journal) ownRow(id mothferry.JobID, p mfjob.Progress, after uint64) mothferry.Write {
 	p.AfterSegment = after
-	return mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: mfjob.EncodeProgress(p)}
+	return mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: j.encode(p, 0)}
+}
+
+// encode returns the stored form of a job's progress, which fits into a row with some overhead.
+func (j *Journal) encode(p mfjob.Progress, overhead int) []byte {
+	maxRow := j.MaxRow
+	if maxRow == 0 {
+		maxRow = DefaultMaxRow
+	}
+	text, omitted := mfjob.EncodeProgressWithin(p, int(maxRow)-overhead)
+	j.Omitted += omitted
+	return text
 }
 
 // segment is one row of the log.
--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -293,3 +293,33 @@
 	got, _ = stored.read(t)
 	assert.DeepEqual(t, got["lasts"], progress(23, 2))
 }
+
+// Guards against rows and commits that the store refuses for their size: large jobs with long
+// checkpoints change together, again and again, until old entries are moved.
+func TestLongCheckpointsFitRowsAndTransactions(t *testing.T) {
+	const jobs, maxCommit = 40, 400 << 10
+	large := progress(1, mfjob.MaxTasks)
+	tasks := large.Occurrences[0][0].Tasks
+	for i := range tasks {
+		tasks[i].Worker, tasks[i].Checkpoint = "i-00000000", mothferry.Checkpoint(strings.Repeat("x", 256))
+	}
+	j := &mfjournal.Journal{MaxLog: 1 << 20}
+	stored := newStore()
+	for round := range 100 {
+		rows := j.Write(map[mothferry.JobID]mfjob.Progress{mothferry.JobID(fmt.Sprintf("j-%03d", round%jobs)): large})
+		size := 0
+		for _, w := range rows {
+			size += len(w.Value)
+		}
+		assert.Assert(t, size <= maxCommit, "round %d: %d bytes", round, size)
+		stored.apply(t, rows)
+	}
+	assert.Assert(t, j.Omitted > 0)
+	got, _ := stored.read(t)
+	assert.Equal(t, len(got), jobs)
+	for id, p := range got {
+		for x, task := range p.Occurrences[0][0].Tasks {
+			assert.Assert(t, task.Worker == tasks[x].Worker && task.Run == tasks[x].Run, "%s, task %d: %v", id, x, task)
+		}
+	}
+}
--- a/mfowner/activity.go
+++ b/mfowner/activity.go
@@ -18,6 +18,8 @@
 	rows             int
 	maxCommitLatency time.Duration
 	rounds           int
+	// omittedBefore is how many checkpoints had been left out of rows by then.
+	omittedBefore int
 }
 
 func (a *activity) committed(took time.Duration) {
@@ -44,10 +46,13 @@
 			"epoch": s.state.Epoch, "ms": now.Sub(a.since).Milliseconds(), "commits": a.commits, "rows": a.rows,
 			"longest_commit_ms": a.maxCommitLatency.Milliseconds(), "rounds": a.rounds, "jobs": g.Live, "unstored": g.Dirty,
 		}
+		if omitted := s.journal.Omitted - a.omittedBefore; omitted > 0 {
+			fields["checkpoints_omitted"] = omitted
+		}
 		for service, p := range g.Pools {
 			fields[string(service)] = fmt.Sprintf("workers %d usable %d cores %.2f memory %.2f waiting %d running %d", p.Listed, p.Usable, p.Cores, p.Memory, p.Waiting, p.Running)
 		}
 		s.owner.Log.WithFields(fields).Info("shard activity")
 	}
-	*a = activity{since: now}
+	*a = activity{since: now, omittedBefore: s.journal.Omitted}
 }
--- a/mfowner/restore.go
+++ b/mfowner/restore.go
@@ -54,6 +54,7 @@
 		return err
 	}
 	s.journal = stored.journal
+	s.journal.MaxRow = s.owner.Limits.MaxRow
 	s.journal.MaxLog = mothferry.Bytes(s.owner.Link/bitsPerByte) * logReadSeconds
 	s.progress = map[mothferry.JobID]*mfjob.Progress{}
 	finished := 0
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"mothferry"
@@ -83,7 +84,7 @@
 // restore sets a job to the progress that a previous owner stored. Runs that may be on a
 // worker stay unresolved until that worker is fenced and polled.
 func (s *State) restore(j *job, p mfjob.Progress, now time.Time) {
-	j.begun = min(p.Begun(), j.submission.Occurrences())
+	j.begun = min(begunOccurrences(p), j.submission.Occurrences())
 	j.started = j.begun > len(p.Occurrences)
 	for k, steps := range p.Occurrences {
 		if p.Number(k) >= j.begun {
@@ -98,6 +99,22 @@
 	j.dropDoneOccurrences()
 }
 
+// begunOccurrences returns how many occurrences have begun. Older programs listed all occurrences of
+// a job, also those that had not.
+func begunOccurrences(p mfjob.Progress) int {
+	begun := p.Begun()
+	for p.Open == nil && begun > 0 && untouched(p.Occurrences[begun-1]) {
+		begun--
+	}
+	return begun
+}
+
+func untouched(steps []mfjob.StepProgress) bool {
+	return !slices.ContainsFunc(steps, func(p mfjob.StepProgress) bool {
+		return p.Done || slices.ContainsFunc(p.Tasks, func(t mfjob.TaskProgress) bool { return t != mfjob.TaskProgress{} })
+	})
+}
+
 func (s *State) restoreStep(st *step, p mfjob.StepProgress, now time.Time) {
 	for x, t := range st.tasks {
 		switch {
--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mothferry"
 	"mothferry/mfjournal"
 )
 
@@ -22,6 +23,8 @@
 	// UnavailableAfter is how long a lasting task may fail to serve before it counts as
 	// unavailable.
 	UnavailableAfter time.Duration
+	// MaxRow is the largest value that the store takes; zero for that of current deployments.
+	MaxRow mothferry.Bytes
 	// MaxEndsListed is how many ends a poll lists at most; zero for no bound.
 	MaxEndsListed int
 }
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -75,6 +75,7 @@
 	}
 	var placed []*worker
 	var runs []string
+	room := s.rowRoomOf(c.job)
 	for _, t := range p.tasks {
 		if t.phase != phaseWaiting || now.Before(t.notBefore) || t.awaitsEndCause(now) {
 			continue
@@ -91,6 +92,10 @@
 		if w == nil || normalTurnover != nil && w.slowStatus.Degraded() && s.canRunOnNormalWorker(t, workers) && normalTurnover.shouldWait(t, w, now) {
 			break
 		}
+		if !room.take(w) {
+			s.logRowFull(c.job)
+			break
+		}
 		s.plan(t, w, t.highestRun()+1)
 		placed = append(placed, w)
 		if p.spec.Lasting {
@@ -141,12 +146,18 @@
 		return
 	}
 	checkpoint := p.tasks[0].checkpoint
+	room := s.rowRoomOf(c.job)
 	for _, t := range p.tasks {
 		w := s.chooseWorker(c, t, workers, now)
 		if w == nil {
 			s.unplan(p)
 			return
 		}
+		if !room.take(w) {
+			s.logRowFull(c.job)
+			s.unplan(p)
+			return
+		}
 		t.checkpoint = checkpoint
 		s.plan(t, w, run+1)
 	}
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -170,6 +170,8 @@
 	occurrences []*occurrence
 	begun       int
 	heldBack    bool
+	// rowFull reports whether tasks ever had to wait because the job's row was full.
+	rowFull bool
 	// started reports whether a run was ever planned.
 	started bool
 	// dirty reports whether a change is in no commit yet, rowStored whether the job's own row
--- a/mfsched/straggler.go
+++ b/mfsched/straggler.go
@@ -209,6 +209,10 @@
 	if target == nil {
 		return true
 	}
+	if room := s.rowRoomOf(t.job); m == mitigationCopy && !room.take(target) {
+		s.logRowFull(t.job)
+		return true
+	}
 	message := MessageRestarted
 	if m == mitigationCopy {
 		message = MessageCopyStarted
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -78,7 +78,7 @@
 	var size commitSize
 	rest := s.dirty[:0]
 	for _, j := range s.dirty {
-		if !size.tryAdd(j) {
+		if !size.tryAdd(j, s.storedSize(j)) {
 			rest = append(rest, j)
 			continue
 		}
@@ -104,20 +104,21 @@
 }
 
 // commitSize counts what a commit holds.
-type commitSize struct{ jobs, ownRows, tasks int }
+type commitSize struct{ jobs, ownRows, tasks, bytes int }
 
-// tryAdd adds a job unless the commit has no room for it; the first job always fits.
-func (c *commitSize) tryAdd(j *job) bool {
+// tryAdd adds a job whose progress has a size unless the commit has no room for it; the first job
+// always fits.
+func (c *commitSize) tryAdd(j *job, bytes int) bool {
 	ownRows, tasks := 0, j.storedTasks()
 	if !j.rowStored || j.state.Final() {
 		// The state that callers query has a row of its own: that a job has started, or has
 		// finished.
 		ownRows = 1
 	}
-	if c.jobs >= maxCommitJobs || c.ownRows+ownRows > maxCommitOwnRows || c.jobs > 0 && c.tasks+tasks > maxCommitTasks {
+	if c.jobs >= maxCommitJobs || c.ownRows+ownRows > maxCommitOwnRows || c.jobs > 0 && (c.tasks+tasks > maxCommitTasks || c.bytes+bytes > int(maxCommitBytes)) {
 		return false
 	}
-	c.jobs, c.ownRows, c.tasks = c.jobs+1, c.ownRows+ownRows, c.tasks+tasks
+	c.jobs, c.ownRows, c.tasks, c.bytes = c.jobs+1, c.ownRows+ownRows, c.tasks+tasks, c.bytes+bytes
 	return true
 }
 
