mfowner: bound the rows of waves in a commit

Cause: waveRows had no bound; 99 new waves make a transaction of more than 100 entries, which the store refuses for good. A wave of some thousand machines makes a row that is too long.

Fix: at most eight rows and about 32 kB of waves a commit, in the order of their ids; waves of very many machines have further rows. The rows of other waves stay as they are. The code of waves moves to a file of its own.

--- a/mfowner/machines.go
+++ b/mfowner/machines.go
@@ -2,22 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"maps"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/gravitational/trace"
 
 	"mothferry"
 	"mothferry/mfduty"
-	"mothferry/mfrecord"
 	"mothferry/mfsched"
 )
 
@@ -59,8 +51,8 @@
 	queued, committing []mfduty.Call
 	// calledBy names the daemon that called for a machine if it is another one.
 	calledBy map[mothferry.MachineID]mothferry.DaemonID
-	// storedWaves is the stored row of each wave.
-	storedWaves map[mothferry.WaveID]string
+	// storedWaves holds the stored rows of waves.
+	storedWaves map[mothferry.Key]string
 	// reportedWaves is what was last reported of each wave: whether it is completed.
 	reportedWaves map[mothferry.WaveID]bool
 }
@@ -71,88 +63,11 @@
 	return machineControl{
 		planner:       planner,
 		calledAt:      map[mothferry.MachineID]time.Time{},
-		storedWaves:   map[mothferry.WaveID]string{},
+		storedWaves:   map[mothferry.Key]string{},
 		reportedWaves: map[mothferry.WaveID]bool{},
 	}
 }
 
-// storedWave is the row of a wave in progress.
-type storedWave struct {
-	Format int                   `json:"format"`
-	Begun  time.Time             `json:"begun"`
-	Done   []mothferry.MachineID `json:"done"`
-}
-
-// waveFormat is the version of storedWave.
-const waveFormat = 1
-
-func waveKey(id mothferry.WaveID) mothferry.Key {
-	return mothferry.Key(prefixWave + strconv.Itoa(int(id)))
-}
-
-const prefixWave = "wave/"
-
-// restoreWaves restores the waves from the rows stored by previous owners.
-func (s *session) restoreWaves(rows []mothferry.Row) error {
-	for _, r := range rows {
-		if !isWaveRow(r) {
-			continue
-		}
-		id, w, err := decodeWaveRow(r)
-		if err != nil {
-			return err
-		}
-		s.machines.planner.RestoreWave(id, w.Begun, w.Done)
-		s.machines.storedWaves[id] = string(r.Value)
-	}
-	return nil
-}
-
-func isWaveRow(r mothferry.Row) bool { return strings.HasPrefix(string(r.Key), prefixWave) }
-
-// decodeWaveRow decodes the row of a wave. It fails with errNewerWave if the format is newer.
-func decodeWaveRow(r mothferry.Row) (mothferry.WaveID, storedWave, error) {
-	var w storedWave
-	id, err := strconv.Atoi(strings.TrimPrefix(string(r.Key), prefixWave))
-	if err != nil {
-		return 0, w, trace.Wrap(err)
-	}
-	if err := json.Unmarshal(r.Value, &w); err != nil {
-		return 0, w, trace.Wrap(err)
-	}
-	if w.Format > waveFormat {
-		return 0, w, &errNewerWave{format: w.Format}
-	}
-	return mothferry.WaveID(id), w, nil
-}
-
-// errNewerWave reports a wave row in an unsupported, newer format.
-type errNewerWave struct{ format int }
-
-// Error implements error.
-func (e *errNewerWave) Error() string {
-	return fmt.Sprintf("decode wave row: format %d is newer than the supported format %d", e.format, waveFormat)
-}
-
-// waveRows returns the rows of waves that changed since they were last written.
-func (s *session) waveRows() []mothferry.Write {
-	var rows []mothferry.Write
-	for id, w := range s.machines.planner.Waves {
-		stored := storedWave{Format: waveFormat, Begun: w.StartedAt, Done: slices.Sorted(maps.Keys(w.Done))}
-		value, err := json.Marshal(stored)
-		if err != nil {
-			s.owner.Log.WithError(err).WithField("wave", id).Error("failed to encode wave")
-			continue
-		}
-		if s.machines.storedWaves[id] == string(value) {
-			continue
-		}
-		s.machines.storedWaves[id] = string(value)
-		rows = append(rows, mothferry.Write{Table: mfrecord.TableOwner, Part: mfrecord.PartShard, Key: waveKey(id), Value: value})
-	}
-	return rows
-}
-
 // pollMachines lists machines when the next list is due, and plans calls with the result.
 func (s *session) pollMachines(now time.Time) {
 	if now.Before(s.machines.nextList) || s.machines.listing {
@@ -297,25 +212,3 @@
 		return mfduty.AnswerUnknown
 	}
 }
-
-// reportWaves reports waves to the operator: as running when first seen, and again when
-// completed.
-func (s *session) reportWaves() {
-	for id, w := range s.machines.planner.Waves {
-		if reported, ok := s.machines.reportedWaves[id]; ok && reported == w.Completed {
-			continue
-		}
-		s.machines.reportedWaves[id] = w.Completed
-		completed := w.Completed
-		go func() {
-			err := s.owner.ReportWave(s.ctx, id, completed)
-			entry := s.owner.Log.WithFields(log.Fields{"wave": id, "completed": completed})
-			if err == nil {
-				entry.Info("wave reported to the operator")
-				return
-			}
-			entry.WithError(err).Warn("failed to report wave to the operator")
-			s.runInLoop(func() { delete(s.machines.reportedWaves, id) })
-		}()
-	}
-}
