A rejected commit stops only the jobs at fault

Cause: each status but 200, 412, 429 and 503 was the same error, and the committer took it for a missing answer and sent the same transaction again without end. A rejection of an accept or a cancel was answered as unknown, so that the caller asked again for ever, and counted as a failure of the store in the host's health.

Fix: ErrRejected. The committer divides a rejected commit until the rows at fault are found and stores the others in order; rows of the log are not deleted then. Jobs of rejected rows start nothing, are committed alone, and fail if rejected again; ends are acknowledged only when all is stored.

--- a/errors.go
+++ b/errors.go
@@ -136,6 +136,19 @@
 	return fmt.Sprintf("platform declined %s with status %d; nothing was done", e.Operation, e.Status)
 }
 
+// ErrRejected reports that the platform rejected a call as invalid without applying it. It would
+// reject the same call again.
+type ErrRejected struct {
+	Operation string
+	// Status is the HTTP status of the rejection.
+	Status int
+}
+
+// Error implements error.
+func (e *ErrRejected) Error() string {
+	return fmt.Sprintf("platform rejected %s with status %d as invalid", e.Operation, e.Status)
+}
+
 // ErrHistoryGone reports that the store no longer keeps the changes after a
 // version: the rows have to be read again.
 type ErrHistoryGone struct {
--- a/mffleet/store.go
+++ b/mffleet/store.go
@@ -60,7 +60,8 @@
 // their duration says nothing about the store's latency.
 func (r *monitoredStore) recordCall(began time.Time, err error) {
 	var conflict *mothferry.ErrConflict
-	if err != nil && !errors.As(err, &conflict) {
+	var rejected *mothferry.ErrRejected
+	if err != nil && !errors.As(err, &conflict) && !errors.As(err, &rejected) {
 		return
 	}
 	now := r.clock.Now()
--- a/mffleet/store_test.go
+++ b/mffleet/store_test.go
@@ -90,3 +90,17 @@
 	rows.clock.Advance(maxAnswerAge + maxLatencyAllowance)
 	assert.Assert(t, !ready(d))
 }
+
+// Guards against a host that counts as turned away, and lets peers call the store for it, because the
+// store rejected a transaction: a rejection is an answer.
+func TestRejectionIsAnAnswer(t *testing.T) {
+	rows := &slowRows{Rows: &mfstandin.Rows{}, clock: mffake.NewClock()}
+	d, _ := newPollingDaemon(rows)
+	for range 20 {
+		rows.clock.Advance(300 * time.Millisecond)
+		_, err := d.store.Commit(context.Background(), mothferry.Txn{Writes: []mothferry.Write{{Value: make([]byte, 70_000)}}})
+		assert.ErrorType(t, err, &mothferry.ErrRejected{})
+	}
+	assert.Assert(t, ready(d))
+	assert.Assert(t, d.store.health.Serving(rows.clock.Now()))
+}
--- a/mfforward/health.go
+++ b/mfforward/health.go
@@ -63,8 +63,9 @@
 	start := h.pending[id]
 	delete(h.pending, id)
 	var conflict *mothferry.ErrConflict
+	var rejected *mothferry.ErrRejected
 	switch {
-	case err == nil || errors.As(err, &conflict):
+	case err == nil || errors.As(err, &conflict) || errors.As(err, &rejected):
 		h.failures, h.lastLatency = 0, now.Sub(start)
 		if start.After(h.lastAnsweredStart) {
 			h.lastAnsweredStart = start
--- a/mfforward/release.go
+++ b/mfforward/release.go
@@ -63,10 +63,11 @@
 	})
 	var conflict *mothferry.ErrConflict
 	var declined *mothferry.ErrDeclined
+	var rejected *mothferry.ErrRejected
 	switch {
 	case err == nil:
 		return mfintake.OutcomeDone
-	case errors.As(err, &conflict), errors.As(err, &declined):
+	case errors.As(err, &conflict), errors.As(err, &declined), errors.As(err, &rejected):
 		return mfintake.OutcomeNotRun
 	default:
 		return mfintake.OutcomeUnknown
--- a/mfintake/intake.go
+++ b/mfintake/intake.go
@@ -91,10 +91,11 @@
 func (i *Intake) acceptOutcome(id mothferry.JobID, err error) Outcome {
 	var conflict *mothferry.ErrConflict
 	var declined *mothferry.ErrDeclined
+	var rejected *mothferry.ErrRejected
 	switch {
 	case err == nil, errors.As(err, &conflict):
 		return OutcomeDone
-	case errors.As(err, &declined) && !i.isUnresolved(id):
+	case (errors.As(err, &declined) || errors.As(err, &rejected)) && !i.isUnresolved(id):
 		return OutcomeNotRun
 	default:
 		i.markUnresolved(id)
@@ -245,8 +246,9 @@
 	}
 	outcome := OutcomeDone
 	var declined *mothferry.ErrDeclined
+	var rejected *mothferry.ErrRejected
 	switch {
-	case errors.As(err, &declined):
+	case errors.As(err, &declined), errors.As(err, &rejected):
 		outcome = OutcomeNotRun
 	case err != nil:
 		outcome = OutcomeUnknown
--- a/mfintake/intake_test.go
+++ b/mfintake/intake_test.go
@@ -72,3 +72,10 @@
 	assert.Equal(t, i.Accept(ctx, id, submission()), mfintake.OutcomeDone)
 	assert.Equal(t, i.Cancel(ctx, id, ""), mfintake.OutcomeDone)
 }
+
+// TestRejectedSubmissionIsRefused guards against a caller that is told to ask again for ever: a
+// submission that the store rejects is not accepted.
+func TestRejectedSubmissionIsRefused(t *testing.T) {
+	rows := &mfstandin.Rows{Before: fault(mfstandin.CommitRejected)}
+	assert.Equal(t, newIntake(rows).Accept(context.Background(), id, submission()), mfintake.OutcomeNotRun)
+}
--- a/mfjournal/journal.go
+++ b/mfjournal/journal.go
@@ -75,7 +75,10 @@
 	// live holds, for each stored segment, the jobs whose newest progress is in it.
 	live map[uint64]map[mothferry.JobID]*entry
 	// sizes holds the size of each stored segment.
-	sizes     map[uint64]mothferry.Bytes
+	sizes map[uint64]mothferry.Bytes
+	// rejected holds the jobs whose newest progress the store rejected and that have not been
+	// written since. What is stored of them may be in segments that look empty.
+	rejected  map[mothferry.JobID]bool
 	readStats ReadStats
 }
 
@@ -116,6 +119,7 @@
 	s := &segment{}
 	for _, id := range slices.Sorted(maps.Keys(changed)) {
 		p := changed[id]
+		delete(j.rejected, id)
 		own := j.NeedsOwnRow(id, p)
 		j.unlink(id)
 		if p.State.Final() {
@@ -143,6 +147,39 @@
 	return append(rows, j.deleteEmptySegments(MaxRows-len(rows))...)
 }
 
+// Rejected records that the store did not take some rows that Write returned, and returns the jobs
+// whose progress they hold.
+func (j *Journal) Rejected(rows []mothferry.Write) []mothferry.JobID {
+	var ids []mothferry.JobID
+	for _, w := range rows {
+		switch {
+		case w.Delete:
+		case w.Table == mfrecord.TableProgress:
+			// Without an own row, entries in the log do not count.
+			delete(j.jobs, mothferry.JobID(w.Key))
+			ids = append(ids, mothferry.JobID(w.Key))
+		case w.Table == mfrecord.TableLog:
+			number, err := mfrecord.LogNumber(w.Key)
+			if err != nil {
+				continue
+			}
+			for _, id := range slices.Sorted(maps.Keys(j.live[number])) {
+				j.live[number][id].segment = 0
+				ids = append(ids, id)
+			}
+			delete(j.live, number)
+			delete(j.sizes, number)
+		}
+	}
+	if j.rejected == nil {
+		j.rejected = map[mothferry.JobID]bool{}
+	}
+	for _, id := range ids {
+		j.rejected[id] = true
+	}
+	return ids
+}
+
 // unlink removes a job from the segment that held its newest progress.
 func (j *Journal) unlink(id mothferry.JobID) {
 	if e, known := j.jobs[id]; known && e.segment != 0 {
@@ -203,7 +240,7 @@
 func (j *Journal) deleteEmptySegments(limit int) []mothferry.Write {
 	var rows []mothferry.Write
 	for _, n := range j.storedSegments() {
-		if len(j.live[n]) > 0 || len(rows) >= limit {
+		if len(j.rejected) > 0 || len(j.live[n]) > 0 || len(rows) >= limit {
 			break
 		}
 		delete(j.live, n)
@@ -219,13 +256,17 @@
 	return mothferry.Write{Table: mfrecord.TableProgress, Part: mfrecord.PartShard, Key: mothferry.Key(id), Value: j.encode(p, 0)}
 }
 
+// RowLimit returns the largest value that the store takes.
+func (j *Journal) RowLimit() mothferry.Bytes {
+	if j.MaxRow == 0 {
+		return DefaultMaxRow
+	}
+	return j.MaxRow
+}
+
 // encode returns the stored form of a job's progress, which fits into a row with some overhead.
 func (j *Journal) encode(p mfjob.Progress, overhead int) []byte {
-	maxRow := j.MaxRow
-	if maxRow == 0 {
-		maxRow = DefaultMaxRow
-	}
-	text, omitted := mfjob.EncodeProgressWithin(p, int(maxRow)-overhead)
+	text, omitted := mfjob.EncodeProgressWithin(p, int(j.RowLimit())-overhead)
 	j.Omitted += omitted
 	return text
 }
--- a/mfjournal/journal_test.go
+++ b/mfjournal/journal_test.go
@@ -323,3 +323,57 @@
 		}
 	}
 }
+
+// Guards against progress that is lost when the store rejects rows of a commit: a new owner reads what
+// was stored of each job before, and what is written after.
+func TestRejectedRowsLoseNothingStored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stored, want := newStore(), map[mothferry.JobID]mfjob.Progress{}
+		j := &mfjournal.Journal{}
+		again := map[mothferry.JobID]bool{}
+		for round := range rapid.IntRange(1, 150).Draw(t, "rounds") {
+			changed := map[mothferry.JobID]mfjob.Progress{}
+			for _, id := range slices.Sorted(maps.Keys(again)) {
+				if rapid.Bool().Draw(t, "written again") {
+					changed[id] = progress(round+1, 3)
+				}
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "changes") {
+				id := mothferry.JobID(fmt.Sprintf("j-%03d", rapid.IntRange(0, 5).Draw(t, "job")))
+				if !want[id].State.Final() {
+					changed[id] = progress(round+1, rapid.IntRange(1, 4).Draw(t, "tasks"))
+				}
+			}
+			for id := range changed {
+				delete(again, id)
+			}
+			rows := j.Write(changed)
+			var rejected []mothferry.Write
+			for i, w := range rows {
+				if !w.Delete && rapid.IntRange(0, 4).Draw(t, "rejected") == 0 {
+					rejected = append(rejected, rows[i])
+				}
+			}
+			if len(rejected) > 0 {
+				rows = slices.DeleteFunc(slices.Clone(rows), func(w mothferry.Write) bool {
+					return w.Delete || slices.ContainsFunc(rejected, func(r mothferry.Write) bool { return r.Table == w.Table && r.Key == w.Key })
+				})
+				for _, id := range j.Rejected(rejected) {
+					again[id] = true
+				}
+			}
+			stored.apply(t, rows)
+			for id, p := range changed {
+				if !again[id] {
+					want[id] = p
+				}
+			}
+			if rapid.IntRange(0, 4).Draw(t, "takeover") == 0 {
+				got, next := stored.read(t)
+				assert.DeepEqual(t, got, want)
+				j = next
+				clear(again)
+			}
+		}
+	})
+}
--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -4,6 +4,9 @@
 	"maps"
 	"time"
 
+	"github.com/apex/log"
+
+	"mothferry"
 	"mothferry/mfjournal"
 	"mothferry/mfrecord"
 	"mothferry/mfsched"
@@ -21,6 +24,7 @@
 		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, s.state.Waits(now)
 		head.Shares = s.shares(now)
 	}
+	head = s.fitHead(head)
 	snapshot := head
 	snapshot.ReadAt, snapshot.FirstReadAt = now, now
 	s.owner.lastHead.Store(&snapshot)
@@ -32,7 +36,7 @@
 	s.peerRelease.head, s.peerRelease.version = s.committer.head, s.committer.version
 	go func() {
 		began := s.owner.Clock.Now()
-		err := s.committer.write(s.commits, head, rows)
+		err := s.committer.writeValid(s.commits, head, rows)
 		if s.owner.OnCommit != nil {
 			s.owner.OnCommit(s.owner.Clock.Now().Sub(began))
 		}
@@ -40,6 +44,32 @@
 	}()
 }
 
+// maxUncheckedCounts is the number of entries up to which the head fits a row without a check.
+const maxUncheckedCounts = 100
+
+// fitHead leaves out of the head what does not fit a row: the accounts' shares, and then the counts
+// of queues. Hosts then refuse no job by shares, or tell no counts.
+func (s *session) fitHead(head mfrecord.Head) mfrecord.Head {
+	if len(head.Pending)+len(head.EstimatedWaits)+len(head.Shares) <= maxUncheckedCounts {
+		return head
+	}
+	for _, leaveOut := range []func(){
+		func() {},
+		func() { head.Shares = nil },
+		func() { head.PendingKnown, head.Pending, head.EstimatedWaits = false, nil, nil },
+	} {
+		leaveOut()
+		if value, err := head.Encode(); err == nil && mothferry.Bytes(len(value)) <= s.journal.RowLimit() {
+			break
+		}
+	}
+	if trimmed := !head.PendingKnown || head.Shares == nil && s.publishedShares != nil; trimmed != s.headTrimmed {
+		s.headTrimmed = trimmed
+		s.owner.Log.WithFields(log.Fields{"epoch": head.Epoch, "trimmed": trimmed, "shares": head.Shares != nil, "counts": head.PendingKnown}).Warn("counts in the head changed to fit its row")
+	}
+	return head
+}
+
 // sharesInterval is how often account shares are computed: about as often as hosts read them.
 const sharesInterval = 200 * time.Millisecond
 
--- a/mfowner/committer.go
+++ b/mfowner/committer.go
@@ -96,7 +96,8 @@
 // conclusive reports whether the result settles the outcome of the commit.
 func (s sendResult) conclusive() bool {
 	var conflict *mothferry.ErrConflict
-	return s.err == nil || errors.As(s.err, &conflict)
+	var rejected *mothferry.ErrRejected
+	return s.err == nil || errors.As(s.err, &conflict) || errors.As(s.err, &rejected)
 }
 
 // send sends a commit until its outcome is known, and again whenever an answer is overdue.
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -61,7 +61,9 @@
 	journal *mfjournal.Journal
 	// publishedShares is the allocation last published to hosts, sharesComputedAt when it was
 	// computed.
-	publishedShares  mfshare.Allocation
+	publishedShares mfshare.Allocation
+	// headTrimmed reports whether the head is stored without some counts.
+	headTrimmed      bool
 	sharesComputedAt time.Time
 	progress         map[mothferry.JobID]*mfjob.Progress
 	// progressToDelete holds jobs whose progress is still to be deleted.
@@ -150,14 +152,15 @@
 		case <-s.ctx.Done():
 			return s.finish()
 		case err := <-s.commitResult:
-			if err != nil {
+			var rejected *errRowsRejected
+			if err != nil && !errors.As(err, &rejected) {
 				return err
 			}
 			s.commitInFlight = false
 			s.confirmedAt, s.commitLatency = s.commitSentAt, s.owner.Clock.Now().Sub(s.commitSentAt)
 			s.activity.committed(s.commitLatency)
 			s.sendCommittedCalls(s.owner.Clock.Now())
-			s.step(mfsched.CommitDone{Number: s.commitNumber})
+			s.step(mfsched.CommitDone{Number: s.commitNumber, Rejected: s.rowsRejected(rejected)})
 		case e := <-s.events:
 			s.step(e)
 			s.applyPendingEvents()
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -146,6 +146,8 @@
 // CommitDone reports that the commit with this number is stored.
 type CommitDone struct {
 	Number int
+	// Rejected lists the jobs whose progress the store did not take; that of the others is stored.
+	Rejected []mothferry.JobID
 }
 
 // AdviceAnswered is the adviser's answer for a step; Tickets is nil if it did not answer.
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -174,6 +174,10 @@
 	rowFull bool
 	// started reports whether a run was ever planned.
 	started bool
+	// rejections counts the commits of the job that the store rejected, alone reports whether its
+	// next commit holds no other job.
+	rejections int
+	alone      bool
 	// dirty reports whether a change is in no commit yet, rowStored whether the job's own row
 	// is stored or in the commit in flight.
 	dirty, rowStored bool
@@ -266,6 +270,9 @@
 	commitSent       time.Time
 	lastCommit       time.Time
 	lastHousekeeping time.Time
+	// committedAlone is the job that is alone in the commit in flight because the store rejected
+	// it before; nil for none.
+	committedAlone *job
 	// finishedJobs holds the finished jobs, earliest first, until they are deleted.
 	finishedJobs []*job
 	// finishedInCommit holds the finished jobs in the commit in flight, submissionsToDelete
@@ -335,7 +342,7 @@
 	case AdviceAnswered:
 		s.adviceAnswered(v)
 	case CommitDone:
-		s.committed(v.Number, now)
+		s.committed(v, now)
 	case Tick:
 		s.tick(now)
 	}
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -77,8 +77,13 @@
 	c := Commit{Number: s.commitNumber, Progress: map[mothferry.JobID]mfjob.Progress{}}
 	var size commitSize
 	rest := s.dirty[:0]
-	for _, j := range s.dirty {
-		if !size.tryAdd(j, s.storedSize(j)) {
+	alone := len(s.dirty) > 0 && s.dirty[0].alone
+	s.committedAlone = nil
+	if alone {
+		s.committedAlone = s.dirty[0]
+	}
+	for i, j := range s.dirty {
+		if alone && i > 0 || !alone && j.alone || !size.tryAdd(j, s.storedSize(j)) {
 			rest = append(rest, j)
 			continue
 		}
@@ -153,21 +158,28 @@
 
 // committed sends the start orders whose intents are stored and marks the ends whose effects
 // are stored.
-func (s *State) committed(number int, now time.Time) {
-	if number != s.commitNumber {
+func (s *State) committed(e CommitDone, now time.Time) {
+	if e.Number != s.commitNumber {
 		return
 	}
 	s.commitInFlight = false
 	s.lastCommit = s.commitSent
-	for id, seen := range s.endsInCommit {
-		if w, ok := s.workers[id]; ok {
-			w.lastEndStored = max(w.lastEndStored, seen)
+	rejected := s.rejectedJobs(e.Rejected)
+	if len(rejected) == 0 {
+		for id, seen := range s.endsInCommit {
+			if w, ok := s.workers[id]; ok {
+				w.lastEndStored = max(w.lastEndStored, seen)
+			}
 		}
 	}
 	for _, r := range s.committing {
 		if r.task.phase != phasePlanned || r.task.run != r.run {
 			continue
 		}
+		if rejected[r.task.job] {
+			s.requeue(r.task, now)
+			continue
+		}
 		if !r.task.job.account.stillAdmits(r.task.step.spec.Need) {
 			s.requeue(r.task, now)
 			continue
@@ -175,7 +187,9 @@
 		s.sendStart(r.task, now)
 	}
 	s.committing = nil
+	s.finishedInCommit = slices.DeleteFunc(s.finishedInCommit, func(j *job) bool { return rejected[j] })
 	s.finalStatesStored(now)
+	s.commitRejected(e.Rejected, now)
 }
 
 func (s *State) sendStart(t *task, now time.Time) {
--- a/mfstandin/rows.go
+++ b/mfstandin/rows.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/base64"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +47,8 @@
 	// CommitLate gets no answer and takes effect when ApplyLate is called, if its checks hold
 	// then.
 	CommitLate
+	// CommitRejected has no effect, as the store holds the transaction for invalid.
+	CommitRejected
 )
 
 // Commit implements mothferry.RowStore.
@@ -57,9 +60,15 @@
 		fault = r.Before(txn)
 	}
 	unanswered := &mothferry.ErrUnavailable{Operation: "commit", Err: context.DeadlineExceeded}
+	rejected := &mothferry.ErrRejected{Operation: "commit", Status: 400}
+	if tooLarge(txn) {
+		return 0, rejected
+	}
 	switch fault {
 	case CommitDeclined:
 		return 0, &mothferry.ErrDeclined{Operation: "commit", Status: 503}
+	case CommitRejected:
+		return 0, rejected
 	case CommitLost:
 		return 0, unanswered
 	case CommitLate:
@@ -73,6 +82,25 @@
 	return version, err
 }
 
+// What the stores of current deployments take.
+const (
+	maxEntries          = 100
+	maxValueBytes       = 65536
+	maxTransactionBytes = 1_000_000
+)
+
+// tooLarge reports whether a transaction is larger than the store takes.
+func tooLarge(txn mothferry.Txn) bool {
+	size := 0
+	for _, w := range txn.Writes {
+		if len(w.Value) > maxValueBytes {
+			return true
+		}
+		size += base64.StdEncoding.EncodedLen(len(w.Value)) + len(w.Table) + len(w.Part) + len(w.Key)
+	}
+	return len(txn.Checks)+len(txn.Writes) > maxEntries || size > maxTransactionBytes
+}
+
 // SetBefore changes Before while the store is in use.
 func (r *Rows) SetBefore(before func(txn mothferry.Txn) CommitFault) {
 	r.mutex.Lock()
