--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -219,7 +219,7 @@
 		MachineHandoverDelay: d.Settings.MachineHandoverDelay, Log: d.Log("owner"),
 	}
 	d.Intake = &mfintake.Intake{
-		Store: d.store, Clock: d.Clock, Random: d.Random, Log: d.Log("intake"), LastHead: d.owner.LastHead,
+		Store: d.store, MaxRow: d.Settings.Limits.MaxRow, Clock: d.Clock, Random: d.Random, Log: d.Log("intake"), LastHead: d.owner.LastHead,
 		Off: d.Settings.Off, OnResult: shares.countSubmission,
 	}
 	d.buildForward()
--- a/mfintake/intake.go
+++ b/mfintake/intake.go
@@ -10,13 +10,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/gravitational/trace"
 
 	"mothferry"
 	"mothferry/mfjob"
+	"mothferry/mfjournal"
 	"mothferry/mfrecord"
 	"mothferry/mfshare"
 )
@@ -49,6 +52,8 @@
 	Random mothferry.Random
 	// LastHead returns the shard's last head, nil if it was never read.
 	LastHead func() *mfrecord.Head
+	// MaxRow is the largest value that the store takes; zero for that of current deployments.
+	MaxRow mothferry.Bytes
 	// Off holds the features that are switched off.
 	Off mothferry.FeaturesOff
 	// OnResult is called with the result of each submission; it may be nil.
@@ -59,6 +64,29 @@
 	unresolvedSince map[mothferry.JobID]time.Time
 }
 
+// CheckSize returns an ErrInvalid for a job whose submission or progress does not fit a row of the
+// store.
+func (i *Intake) CheckSize(s mfjob.Submission) error {
+	limit := i.MaxRow
+	if limit == 0 {
+		limit = mfjournal.DefaultMaxRow
+	}
+	if s.ProgressSize() > limit {
+		return &mfjob.ErrInvalid{Field: "tasks", Detail: fmt.Sprintf("need %d bytes to store their progress, the store takes %d", s.ProgressSize(), limit)}
+	}
+	value, err := mfjob.EncodeSubmission(s)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if size := mothferry.Bytes(len(value)) + acceptedBytes; size > limit {
+		return &mfjob.ErrInvalid{Field: "body", Detail: fmt.Sprintf("needs %d bytes in the store, which takes %d", size, limit)}
+	}
+	return nil
+}
+
+// acceptedBytes is the size of the time of acceptance in a stored submission.
+const acceptedBytes mothferry.Bytes = 64
+
 // Accept stores a job. A job that is stored already is accepted again.
 func (i *Intake) Accept(ctx context.Context, id mothferry.JobID, s mfjob.Submission) Outcome {
 	s.Accepted = i.Clock.Now().UTC()
