mfduty: a rejected machine call ends, and is not repeated

Cause: a move to a pool of other machines is answered 400, which counted as no answer. The call was repeated each 0.8 s without end and the machine's worker was being evacuated meanwhile.

Fix: a rejection ends the operation and is remembered with the machine's listing. Pools that list machines, but none of a kind, are tried with one machine of it first. The platform's labels give the kind, without the rack.

--- a/fleet.go
+++ b/fleet.go
@@ -204,10 +204,15 @@
 	State      MachineState
 	DataCentre DataCentre
 	Labels     []string
-	Capacity   Resources
-	Worker     WorkerID
+	// Kind tells which machines can take each other's place in a pool.
+	Kind     MachineKind
+	Capacity Resources
+	Worker   WorkerID
 }
 
+// MachineKind is the kind of a machine, which stays the same when it moves to another pool.
+type MachineKind string
+
 // MachineFence names who requests a change of a machine, and under which epoch.
 type MachineFence struct {
 	Holder DaemonID
--- a/mfduty/duty.go
+++ b/mfduty/duty.go
@@ -111,12 +111,22 @@
 	operations map[mothferry.MachineID]*operation
 	// missingSince holds since when a machine of an operation or a wave is not listed.
 	missingSince map[mothferry.MachineID]time.Time
-	sizer        mfpool.Sizer
+	// rejections holds the calls that the platform rejected, rejectedKinds the kinds of machines
+	// that can't join a pool.
+	rejections    map[Call]rejection
+	rejectedKinds map[kindMove]bool
+	// listed holds the machines of the last plan, poolKinds their kinds by pool.
+	listed    map[mothferry.MachineID]mothferry.Machine
+	poolKinds map[mothferry.ServiceID]map[mothferry.MachineKind]bool
+	sizer     mfpool.Sizer
 }
 
 // New returns a State without waves and operations.
 func New() *State {
-	return &State{Waves: map[mothferry.WaveID]*Wave{}, operations: map[mothferry.MachineID]*operation{}, missingSince: map[mothferry.MachineID]time.Time{}}
+	return &State{
+		Waves: map[mothferry.WaveID]*Wave{}, operations: map[mothferry.MachineID]*operation{}, missingSince: map[mothferry.MachineID]time.Time{},
+		rejections: map[Call]rejection{}, rejectedKinds: map[kindMove]bool{},
+	}
 }
 
 // AddWave adds a wave that the operator requests, or updates a known one, which keeps its
@@ -151,6 +161,7 @@
 	}
 	s.updateMissing(listed, now)
 	s.finishOperations(listed, now)
+	s.updateRejections(f, listed)
 	spare := s.planMoves(f, now)
 	for _, id := range s.wavesByDeadline() {
 		spare -= s.planWave(s.Waves[id], listed, f, spare, now)
@@ -247,6 +258,7 @@
 		case m.State == mothferry.MachineMaintenance, f.Blocked[id] && !w.Done[id]:
 			// A machine that a previous owner made a call for may be going down.
 			down++
+		case s.rejected(Call{Kind: KindMaintenance, Machine: id, Wave: w.Wave.Wave}):
 		case !w.Done[id] && !underWay && m.State == mothferry.MachineUp:
 			selectable = append(selectable, m)
 			if f.Loads[m.Worker].Lasting > 0 {
@@ -359,6 +371,8 @@
 	AnswerDone    Answer = "done"
 	AnswerRefused Answer = "refused"
 	AnswerUnknown Answer = "unknown"
+	// AnswerRejected: the platform holds the call for invalid, and did nothing.
+	AnswerRejected Answer = "rejected"
 	// AnswerThrottled: the platform's rate limit was exceeded, and it did nothing.
 	AnswerThrottled Answer = "declined"
 )
@@ -379,6 +393,9 @@
 		}
 	case AnswerRefused:
 		delete(s.operations, c.Machine)
+	case AnswerRejected:
+		delete(s.operations, c.Machine)
+		s.recordRejection(c)
 	case AnswerThrottled:
 		// The next plan repeats the call; the machine stays evacuated meanwhile.
 		if !s.Off[mothferry.FeaturePoolSizes] {
--- a/mfduty/move.go
+++ b/mfduty/move.go
@@ -53,7 +53,7 @@
 		return spare
 	}
 	for _, m := range s.freeMachines(f, pools, retain, slowFirst) {
-		if !f.Standby[m.Pool] {
+		if !f.Standby[m.Pool] && s.mayJoin(m, standby) {
 			s.startMove(m, standby, now)
 		}
 	}
@@ -82,13 +82,19 @@
 // fillPools moves free machines to the pools that are short.
 func (s *State) fillPools(short []mothferry.ServiceID, pools map[mothferry.ServiceID]mfpool.Pool, targets map[mothferry.ServiceID]mfpool.Target, free []mothferry.Machine, now time.Time) {
 	for _, id := range short {
-		for pools[id].Machines < targets[id].Machines && len(free) > 0 {
-			if free[0].Pool != id {
-				s.startMove(free[0], id, now)
-				countMove(pools, free[0].Pool, id)
+		free = slices.DeleteFunc(free, func(m mothferry.Machine) bool {
+			switch {
+			case pools[id].Machines >= targets[id].Machines:
+				return false
+			case m.Pool == id:
+				return true
+			case !s.mayJoin(m, id):
+				return false
 			}
-			free = free[1:]
-		}
+			s.startMove(m, id, now)
+			countMove(pools, m.Pool, id)
+			return true
+		})
 	}
 }
 
--- a/mfowner/machines.go
+++ b/mfowner/machines.go
@@ -201,9 +201,12 @@
 func answerOf(err error) mfduty.Answer {
 	var refused *mothferry.ErrOrderRefused
 	var declined *mothferry.ErrDeclined
+	var rejected *mothferry.ErrRejected
 	switch {
 	case err == nil:
 		return mfduty.AnswerDone
+	case errors.As(err, &rejected):
+		return mfduty.AnswerRejected
 	case errors.As(err, &refused):
 		return mfduty.AnswerRefused
 	case errors.As(err, &declined) && declined.Status == http.StatusTooManyRequests:
--- a/mfowner/machines_test.go
+++ b/mfowner/machines_test.go
@@ -53,6 +53,7 @@
 	}{
 		{nil, mfduty.AnswerDone},
 		{&mothferry.ErrOrderRefused{}, mfduty.AnswerRefused},
+		{&mothferry.ErrRejected{Status: 400}, mfduty.AnswerRejected},
 		{&mothferry.ErrDeclined{Status: 429}, mfduty.AnswerThrottled},
 		{&mothferry.ErrDeclined{Status: 503}, mfduty.AnswerUnknown},
 		{&mothferry.ErrUnavailable{}, mfduty.AnswerUnknown},
