mfsched: a gang that does not fit leaves no trace

Cause: members were planned one by one and released again if one found no worker; the job stayed marked as started and running, run numbers rose, and its progress was stored.

Evidence: TestGangThatDoesNotFitStaysPending failed before with a count of 0, TestGangThatDoesNotFitLeavesNoTrace with changed fields.

Fix: workers are chosen on a draft that counts as used meanwhile; the plan is made when all members have one.

--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -129,52 +129,6 @@
 	return out
 }
 
-// placeGang places all members of a gang or none: some of them would only reserve capacity
-// while they wait for the others.
-func (s *State) placeGang(c candidate, p *step, workers []*worker, now time.Time) {
-	if p.waiting < p.remaining {
-		return
-	}
-	var run mothferry.RunNumber
-	for _, t := range p.tasks {
-		run = max(run, t.run)
-		if now.Before(t.notBefore) {
-			return
-		}
-	}
-	if !c.job.account.admitsAll(p.spec.Need, len(p.tasks)) {
-		return
-	}
-	checkpoint := p.tasks[0].checkpoint
-	room := s.rowRoomOf(c.job)
-	for _, t := range p.tasks {
-		w := s.chooseWorker(c, t, workers, now)
-		if w == nil {
-			s.unplan(p)
-			return
-		}
-		if !room.take(w) {
-			s.logRowFull(c.job)
-			s.unplan(p)
-			return
-		}
-		t.checkpoint = checkpoint
-		s.plan(t, w, run+1)
-	}
-}
-
-// unplan releases the workers just assigned to a gang's members. The members that had one all
-// keep the highest run number of the gang, and the job stays marked as started.
-func (s *State) unplan(p *step) {
-	for _, t := range p.tasks {
-		if t.phase == phasePlanned {
-			t.run--
-			s.release(t)
-		}
-	}
-	s.planned = slices.DeleteFunc(s.planned, func(r plannedRun) bool { return r.task.step == p })
-}
-
 // plan binds a task to a worker under a run number. The start order is sent once that is
 // stored.
 func (s *State) plan(t *task, w *worker, run mothferry.RunNumber) {
@@ -229,7 +183,9 @@
 	return bound
 }
 
-func (s *State) fits(t *task, w *worker) bool { return feasible(t, w, w.reserved()) }
+func (s *State) fits(t *task, w *worker) bool {
+	return feasible(t, w, w.reserved().Add(s.draft.reserved(w)))
+}
 
 // feasible reports whether a worker has a task's label and enough capacity for it in addition
 // to what is used.
@@ -246,7 +202,7 @@
 	if p.spec.PerWorker == 0 && !p.spec.Lasting {
 		return 0
 	}
-	count := 0
+	count := s.draft.tasksOn(p, w)
 	for _, t := range p.tasks {
 		if t.worker == w || t.copyTask != nil && t.copyTask.worker == w {
 			count++
@@ -303,7 +259,7 @@
 		if t.suspect() {
 			weight = weightSuspect
 		}
-		score += weight * float64(w.used.Cores) / float64(w.Capacity.Cores)
+		score += weight * float64(w.used.Add(s.draft.reserved(w)).Cores) / float64(w.Capacity.Cores)
 	}
 	if spec.Lasting {
 		score += weightSpread * float64(s.stepTasksOn(t.step, w))
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -259,7 +259,9 @@
 	dirty []*job
 	// planned holds the runs whose intent is not in a commit yet, committing those in the
 	// commit in flight.
-	planned         []plannedRun
+	planned []plannedRun
+	// draft is the gang for which workers are being chosen; nil for none.
+	draft           *gangDraft
 	committing      []plannedRun
 	endsInCommit    map[mothferry.WorkerID]mothferry.EndNumber
 	commitInFlight  bool
