mfsched: tickets of several advice calls add up

Cause: a call names the first 24 workers with room, those with a valid ticket or a task of the step among them, so that each call named the same ones.

Evidence: TestAdvisedStepWiderThanOneCallStartsWhole failed before with 24 of 30 tasks, and with none of a gang of 30.

Fix: such workers are left out of the call.

--- a/mfsched/advice.go
+++ b/mfsched/advice.go
@@ -22,15 +22,19 @@
 	return ok && now.Add(ticketMargin).Before(t.validUntil)
 }
 
-// requestAdvice asks the adviser for a step, unless a call is pending or too recent. Workers
-// that it has refused are left out.
+// requestAdvice asks the adviser for a step, unless a call is pending or too recent. Workers that it
+// has refused, that may run no further task of the step or for which there is a valid ticket are left
+// out, so that the tickets of several calls add up for a step that is wider than one call.
 func (s *State) requestAdvice(p *step, workers []*worker, now time.Time) {
 	if p.advicePending || now.Sub(p.adviceRequestedAt) < adviceRetryDelay {
 		return
 	}
 	var ids []mothferry.WorkerID
 	for _, w := range workers {
-		if !p.refused[w.at.Worker] && s.fits(p.tasks[0], w) && len(ids) < maxAdviceWorkers {
+		if len(ids) == maxAdviceWorkers {
+			break
+		}
+		if !p.refused[w.at.Worker] && !s.hasTicket(p, w, now) && s.stepTasksOn(p, w) < perWorkerLimit(p.spec.PerWorker) && s.fits(p.tasks[0], w) {
 			ids = append(ids, w.at.Worker)
 		}
 	}
