--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,10 @@
 	Wait time.Duration
 	// MinInterval is the minimum interval between two calls.
 	MinInterval time.Duration
+	// LongAnswer is how long a call with changes takes from which on the table is read again until
+	// it stays the same, as the feed would send each version of a large row that was written
+	// meanwhile; zero for never.
+	LongAnswer time.Duration
 	// Apply is called with rows: all rows of the table if whole is set, else changes. Rows may
 	// come twice.
 	Apply func(rows []mothferry.Row, whole bool)
@@ -95,6 +100,11 @@
 	f.recordAnswer()
 	f.Apply(rows, true)
 	f.reportProgress(asked)
+	if f.tookLong(asked) {
+		if version, err = f.catchUp(ctx, version); err != nil {
+			return err
+		}
+	}
 	for {
 		start := f.Clock.Now()
 		page, asked, err := f.changes(ctx, version)
@@ -106,6 +116,11 @@
 			f.Apply(page.Rows, false)
 		}
 		f.reportProgress(asked)
+		if len(page.Rows) > 0 && f.tookLong(asked) {
+			if version, err = f.catchUp(ctx, version); err != nil {
+				return err
+			}
+		}
 		if remaining := f.MinInterval - f.Clock.Now().Sub(start); remaining > 0 {
 			if !mfclock.Sleep(ctx, f.Clock, remaining) {
 				return ctx.Err()
@@ -114,6 +129,31 @@
 	}
 }
 
+func (f *Follower) tookLong(asked time.Time) bool {
+	return f.LongAnswer > 0 && f.Clock.Now().Sub(asked) >= f.LongAnswer
+}
+
+// catchUp reads the table until nothing has changed since a version, and returns the version from
+// which to follow.
+func (f *Follower) catchUp(ctx context.Context, version mothferry.Version) (mothferry.Version, error) {
+	for {
+		asked := f.Clock.Now()
+		rows, next, err := ReadParts(ctx, f.Store, f.Table, f.Parts)
+		if err != nil {
+			return version, err
+		}
+		changed := slices.ContainsFunc(rows, func(r mothferry.Row) bool { return r.Version > version })
+		if changed {
+			f.Apply(rows, true)
+		}
+		f.reportProgress(asked)
+		version = max(version, next)
+		if !changed {
+			return version, nil
+		}
+	}
+}
+
 // changes returns what changed after a version, and when it asked. It retries a call without an
 // answer: a connection that went silent does not mean that the store is down, and the table
 // need not be read again.
--- a/mffeed/follower_test.go
+++ b/mffeed/follower_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,3 +61,64 @@
 	put("a", "k", "3")
 	wait("k", "3")
 }
+
+// slowFeed takes a while for each version of a large row that it sends.
+type slowFeed struct {
+	*mfstandin.Rows
+	perRow time.Duration
+	sent   atomic.Int64
+}
+
+// Follow implements mothferry.RowStore.
+func (s *slowFeed) Follow(ctx context.Context, table mothferry.TableID, after mothferry.Version, wait time.Duration) (mothferry.RowPage, error) {
+	page, err := s.Rows.Follow(ctx, table, after, wait)
+	s.sent.Add(int64(len(page.Rows)))
+	time.Sleep(time.Duration(len(page.Rows)) * s.perRow)
+	return page, err
+}
+
+// Range implements mothferry.RowStore.
+func (s *slowFeed) Range(ctx context.Context, q mothferry.RowRange) (mothferry.RowPage, error) {
+	page, err := s.Rows.Range(ctx, q)
+	s.sent.Add(int64(len(page.Rows)))
+	time.Sleep(time.Duration(len(page.Rows)) * s.perRow)
+	return page, err
+}
+
+// Guards against a host that falls further and further behind while a large row changes faster than
+// its link carries it: it skips versions, and ends with the last one.
+func TestSlowFollowerSkipsVersions(t *testing.T) {
+	store := &slowFeed{Rows: &mfstandin.Rows{}, perRow: 200 * time.Millisecond}
+	var mutex sync.Mutex
+	last, lag := 0, 0
+	written := 0
+	f := &mffeed.Follower{
+		Store: store, Clock: mfclock.System{}, Random: mfclock.SystemRandom{}, Log: mflog.Discard(),
+		Table: "t", Wait: 50 * time.Millisecond, LongAnswer: 150 * time.Millisecond,
+		Apply: func(rows []mothferry.Row, _ bool) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			for _, r := range rows {
+				last, _ = strconv.Atoi(string(r.Value))
+			}
+			lag = max(lag, written-last)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = f.Run(ctx) }()
+	for i := range 60 {
+		mutex.Lock()
+		written = i + 1
+		mutex.Unlock()
+		_, err := store.Commit(ctx, mothferry.Txn{Writes: []mothferry.Write{{Table: "t", Key: "config", Value: []byte(strconv.Itoa(i + 1))}}})
+		assert.NilError(t, err)
+		time.Sleep(40 * time.Millisecond)
+	}
+	time.Sleep(600 * time.Millisecond)
+	mutex.Lock()
+	defer mutex.Unlock()
+	assert.Equal(t, last, 60)
+	assert.Assert(t, lag <= 16, "%d versions behind", lag)
+	assert.Assert(t, store.sent.Load() < 30, "%d rows sent for 60 versions", store.sent.Load())
+}
