mfsched: count the size of small jobs in a commit closely

A job was counted with 1 kB more than it takes, so that 320 kB held fewer of them than the 400 that a commit may hold, and the size was computed also for jobs for which the commit had no room.

--- a/mfsched/rowsize.go
+++ b/mfsched/rowsize.go
@@ -8,8 +8,8 @@
 
 // Sizes of the stored form of a job's progress, in bytes.
 const (
-	// jobRowBytes is that of a job without its occurrences: its state and account.
-	jobRowBytes = 1 << 10
+	// jobRowBytes is that of a job without its account and its occurrences.
+	jobRowBytes = 128
 	// occurrenceRowBytes is that of an open occurrence of a long schedule without its steps.
 	occurrenceRowBytes = 24
 	// stepRowBytes is that of a step without its tasks.
@@ -50,7 +50,7 @@
 }
 
 func (s *State) storedSizeWithoutCheckpoints(j *job) int {
-	size := jobRowBytes
+	size := jobRowBytes + mfjob.TextSize(string(j.submission.Account))
 	if j.state.Final() {
 		return size
 	}
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -83,7 +83,7 @@
 		s.committedAlone = s.dirty[0]
 	}
 	for i, j := range s.dirty {
-		if alone && i > 0 || !alone && j.alone || !size.tryAdd(j, s.storedSize(j)) {
+		if alone && i > 0 || !alone && j.alone || !size.tryAdd(s, j) {
 			rest = append(rest, j)
 			continue
 		}
@@ -111,16 +111,19 @@
 // commitSize counts what a commit holds.
 type commitSize struct{ jobs, ownRows, tasks, bytes int }
 
-// tryAdd adds a job whose progress has a size unless the commit has no room for it; the first job
-// always fits.
-func (c *commitSize) tryAdd(j *job, bytes int) bool {
+// tryAdd adds a job unless the commit has no room for it; the first job always fits.
+func (c *commitSize) tryAdd(s *State, j *job) bool {
 	ownRows, tasks := 0, j.storedTasks()
 	if !j.rowStored || j.state.Final() {
 		// The state that callers query has a row of its own: that a job has started, or has
 		// finished.
 		ownRows = 1
 	}
-	if c.jobs >= maxCommitJobs || c.ownRows+ownRows > maxCommitOwnRows || c.jobs > 0 && (c.tasks+tasks > maxCommitTasks || c.bytes+bytes > int(maxCommitBytes)) {
+	if c.jobs >= maxCommitJobs || c.ownRows+ownRows > maxCommitOwnRows || c.jobs > 0 && c.tasks+tasks > maxCommitTasks {
+		return false
+	}
+	bytes := s.storedSize(j)
+	if c.jobs > 0 && c.bytes+bytes > int(maxCommitBytes) {
 		return false
 	}
 	c.jobs, c.ownRows, c.tasks, c.bytes = c.jobs+1, c.ownRows+ownRows, c.tasks+tasks, c.bytes+bytes
