--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -197,10 +197,13 @@
 	if state != mfjob.StateCompleted {
 		return
 	}
-	for i, s := range c.submission.Steps {
-		for x := range s.Count {
-			if !c.done[mothferry.TaskName{Job: id, Step: i, Index: x}] {
-				w.violation("job %s is stored as completed, task %d.%d is not done", id, i, x)
+	for k := range c.submission.Occurrences() {
+		for i, s := range c.submission.Steps {
+			for x := range s.Count {
+				if !c.done[mothferry.TaskName{Job: id, Occurrence: k, Step: i, Index: x}] {
+					w.violation("job %s is stored as completed, task %d.%d.%d is not done", id, k, i, x)
+					return
+				}
 			}
 		}
 	}
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -296,6 +296,9 @@
 		w.violation("task %v run %d starts after it was done", order.Task, order.Run)
 	}
 	w.checkAccount(c, &step)
+	if k := order.Task.Occurrence; k >= c.submission.Occurrences() || w.now.Before(c.submission.ScheduledAt(k)) {
+		w.violation("task %v starts before its occurrence is due", order.Task)
+	}
 	for _, a := range step.After {
 		for x := range c.submission.Steps[a].Count {
 			dependency := order.Task
