mfsched: checkpoints of done tasks are not stored

They filled rows, so that those of waiting tasks were left out sooner, and were not counted in the size of a commit. Found by reading. TestCheckpointsOfDoneTasksAreNotStored failed before.

--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -332,7 +332,10 @@
 	var out mfjob.StepProgress
 	for _, t := range st.tasks {
 		stored := mfjob.TaskProgress{
-			Done: t.phase == phaseDone, Run: t.highestRun(), Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes,
+			Done: t.phase == phaseDone, Run: t.highestRun(), Failures: t.failures, Crashes: t.crashes,
+		}
+		if !stored.Done {
+			stored.Checkpoint = t.checkpoint
 		}
 		if t.worker != nil {
 			stored.Worker = t.worker.at.Worker
--- a/mfsched/rowsize_test.go
+++ b/mfsched/rowsize_test.go
@@ -114,3 +114,31 @@
 		assert.Equal(t, h.s.committed[id].State, mfjob.StateCompleted, "%s", id)
 	}
 }
+
+// Guards against rows that are filled by checkpoints that nobody needs any more: those of tasks that
+// are done are not stored.
+func TestCheckpointsOfDoneTasksAreNotStored(t *testing.T) {
+	s := newScript(t)
+	s.listWorker("w-1")
+	s.advance(10 * time.Millisecond)
+	s.answerPoll("w-1", mothferry.PollReport{})
+	s.submit("j", 2)
+	s.advance(50 * time.Millisecond)
+	starts := takeCommands[mfsched.Start](s)
+	assert.Equal(t, len(starts), 2)
+	var running []mothferry.RunningTask
+	for _, c := range starts {
+		s.step(mfsched.StartAnswered{Worker: "w-1", Task: c.Order.Task, Run: 1, Result: mfsched.ResultDone})
+		running = append(running, mothferry.RunningTask{Task: c.Order.Task, Run: 1, Percent: 50, Checkpoint: "saved"})
+	}
+	s.advance(300 * time.Millisecond)
+	s.answerPoll("w-1", mothferry.PollReport{Running: running})
+	s.advance(300 * time.Millisecond)
+	s.answerPoll("w-1", mothferry.PollReport{Running: running[1:], Ended: []mothferry.EndedTask{
+		{Number: 1, Task: running[0].Task, Run: 1, Cause: mothferry.EndDone, Checkpoint: "saved"},
+	}})
+	s.advance(100 * time.Millisecond)
+	for _, task := range s.committed["j"].Occurrences[0][0].Tasks {
+		assert.Equal(t, task.Checkpoint == "saved", !task.Done, "%+v", task)
+	}
+}
