mfsched: let time pass in TestJobWithoutItsQueueIsDemand

The test passed on the code before: without any time passing a job with an objective of its critical path alone still counts as on time. With 300 ms it fails with the former fallback of queueOf, on a copy, and passes on the code as it is.

--- a/mfsched/queue_test.go
+++ b/mfsched/queue_test.go
@@ -115,6 +115,7 @@
 	s := newScript(t)
 	configure(s, map[mothferry.QueueID]mfsched.Queue{queue: inForce()})
 	s.step(mfsched.JobFound{Job: "j", Submission: accepted(s.now)})
+	s.now = s.now.Add(300 * time.Millisecond)
 	before := s.state.Demands(s.now)[service]
 	assert.Assert(t, before.OnTimeWork.Cores > 0)
 	configure(s, nil)
