mfowner: measure the loop by part, its queue and the stages of tasks

The loop's time is divided by part, events carry the time they were queued, the scheduler reports stages of tasks and what placement examined, and relays log how late their timers fire.

--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -202,6 +202,7 @@
 	shares := newShareMetrics(func() *mfowner.Shares { return d.owner.Shares() })
 	d.Registry.MustRegister(d.refusedEntries, d.requestSeconds, d.callSeconds, decisions, commits, owning, cores, pools.machines, pools.binding, shares)
 	stragglers := newStragglerMetrics(d.Registry)
+	loop := newLoopMetrics(d.Registry)
 	d.store = &monitoredStore{RowStore: d.Adapter.Store, clock: d.Clock, health: &mfforward.Health{}}
 	d.buildRelay()
 	d.owner = &mfowner.Owner{
@@ -216,6 +217,8 @@
 		OnCommit:             func(took time.Duration) { commits.Observe(took.Seconds()) },
 		OnJobEnd:             shares.countJobEnd,
 		OnPoolSizes:          pools.set,
+		OnLoopTime:           loop.addTimes,
+		OnTaskStage:          loop.addTaskStage,
 		MachineHandoverDelay: d.Settings.MachineHandoverDelay, Log: d.Log("owner"),
 	}
 	d.Intake = &mfintake.Intake{
--- a/mfowner/activity.go
+++ b/mfowner/activity.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"mothferry/mfsched"
 )
 
 // activityInterval is how often the owner logs a summary of its activity and of the load of
@@ -18,6 +20,14 @@
 	rows             int
 	maxCommitLatency time.Duration
 	rounds           int
+	// maxQueue is the largest number of events that waited for the loop, maxQueueWait the longest
+	// time that one of them did.
+	maxQueue     int
+	maxQueueWait time.Duration
+	// stages holds the durations of the stages of tasks.
+	stages map[mfsched.TaskStage]*stageTimes
+	// cpuBefore is the processor time that the process had used by then.
+	cpuBefore processorTimes
 	// omittedBefore is how many checkpoints had been left out of rows by then.
 	omittedBefore int
 }
@@ -27,6 +37,39 @@
 	a.maxCommitLatency = max(a.maxCommitLatency, took)
 }
 
+func (a *activity) queued(length int, wait time.Duration) {
+	a.maxQueue, a.maxQueueWait = max(a.maxQueue, length), max(a.maxQueueWait, wait)
+}
+
+// taskStageEnded records how long a stage of a task took.
+func (s *session) taskStageEnded(stage mfsched.TaskStage, took time.Duration) {
+	if s.owner.OnTaskStage != nil {
+		s.owner.OnTaskStage(stage, took)
+	}
+	if s.activity.stages == nil {
+		s.activity.stages = map[mfsched.TaskStage]*stageTimes{}
+	}
+	t := s.activity.stages[stage]
+	if t == nil {
+		t = &stageTimes{}
+		s.activity.stages[stage] = t
+	}
+	t.count++
+	t.sum += took
+}
+
+// addLoopFields adds where the loop's time, the processor's and that of tasks went.
+func (s *session) addLoopFields(fields log.Fields, cpu processorTimes) {
+	a := &s.activity
+	fields["queue"], fields["queue_wait_ms"] = a.maxQueue, a.maxQueueWait.Milliseconds()
+	fields["cpu_ms"], fields["gc_cpu_ms"], fields["gc"] = (cpu.process - a.cpuBefore.process).Milliseconds(), (cpu.collector - a.cpuBefore.collector).Milliseconds(), cpu.cycles-a.cpuBefore.cycles
+	effort := s.state.TakeEffort()
+	fields["candidates"], fields["workers_compared"] = effort.Candidates, effort.Workers
+	for stage, t := range a.stages {
+		fields["task_"+string(stage)] = fmt.Sprintf("%d of %d ms", t.count, t.mean().Milliseconds())
+	}
+}
+
 // logActivity logs the summary when it is due, unless there are no live jobs.
 func (s *session) logActivity(now time.Time) {
 	a := &s.activity
@@ -40,6 +83,11 @@
 	if s.owner.OnSlowWorkers != nil {
 		s.owner.OnSlowWorkers(s.state.SlowWorkers())
 	}
+	cpu := readProcessorTimes()
+	spent := s.times.take()
+	if s.owner.OnLoopTime != nil {
+		s.owner.OnLoopTime(spent, a.maxQueueWait)
+	}
 	g := s.state.Gauge(now)
 	if g.Live > 0 {
 		fields := log.Fields{
@@ -49,10 +97,14 @@
 		if omitted := s.journal.Omitted - a.omittedBefore; omitted > 0 {
 			fields["checkpoints_omitted"] = omitted
 		}
+		for part, took := range spent {
+			fields["loop_"+string(part)+"_ms"] = took.Milliseconds()
+		}
+		s.addLoopFields(fields, cpu)
 		for service, p := range g.Pools {
 			fields[string(service)] = fmt.Sprintf("workers %d usable %d cores %.2f memory %.2f waiting %d running %d", p.Listed, p.Usable, p.Cores, p.Memory, p.Waiting, p.Running)
 		}
 		s.owner.Log.WithFields(fields).Info("shard activity")
 	}
-	*a = activity{since: now, omittedBefore: s.journal.Omitted}
+	*a = activity{since: now, omittedBefore: s.journal.Omitted, cpuBefore: cpu}
 }
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -71,6 +71,11 @@
 	// is released or lost; it may be nil.
 	OnSlowWorkers func(workers []mfsched.SlowWorker)
 
+	// OnLoopTime is called each second with where the loop's time went and the longest wait of an
+	// event for the loop, OnTaskStage with the duration of each stage of a task; both may be nil.
+	OnLoopTime  func(spent map[LoopPart]time.Duration, queueWait time.Duration)
+	OnTaskStage func(stage mfsched.TaskStage, took time.Duration)
+
 	// OnJobEnd is called when a job of an account ends; it may be nil.
 	OnJobEnd func(end mfsched.JobEnd)
 
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -37,7 +37,7 @@
 	owner     *Owner
 	committer *committer
 	state     *mfsched.State
-	events    chan mfsched.Event
+	events    chan queuedEvent
 	// loopFuncs holds the functions that other goroutines have passed to runInLoop.
 	loopFuncs chan func()
 	machines  machineControl
@@ -56,6 +56,7 @@
 	peerRelease    peerRelease
 	config         *mfqueue.Config
 	activity       activity
+	times          loopTimes
 	// journal encodes the stored progress of jobs; progress is what was stored before this
 	// ownership.
 	journal *mfjournal.Journal
@@ -91,7 +92,7 @@
 		owner:          o,
 		committer:      c,
 		state:          mfsched.New(o.Limits, c.head.Epoch, claimed, lastCommit.Add(c.head.LeaseTail)),
-		events:         make(chan mfsched.Event, eventBuffer),
+		events:         make(chan queuedEvent, eventBuffer),
 		loopFuncs:      make(chan func(), eventBuffer),
 		machines:       newMachineControl(o.Off),
 		predecessor:    predecessorCalls{lastCommit: lastCommit, ages: seen.head.CallAges, head: seen.head, self: o.Daemon},
@@ -102,7 +103,10 @@
 		ctx:            inner,
 		commits:        commits, cancelCommits: cancelCommits,
 	}
+	s.times = newLoopTimes(o.Clock)
 	s.state.Off = o.Off
+	s.state.OnTickStage = func(stage mfsched.TickStage) { s.times.enter(LoopPart(stage)) }
+	s.state.OnTaskStage = s.taskStageEnded
 	if o.OnPoolSizes != nil {
 		defer o.OnPoolSizes(nil)
 	}
@@ -130,7 +134,7 @@
 // post passes an event to the loop.
 func (s *session) post(e mfsched.Event) {
 	select {
-	case s.events <- e:
+	case s.events <- queuedEvent{e, s.owner.Clock.Now()}:
 	case <-s.ctx.Done():
 	}
 }
@@ -148,6 +152,7 @@
 	defer timer.Stop()
 	lastRound := s.owner.Clock.Now()
 	for {
+		s.times.enter(PartIdle)
 		select {
 		case <-s.ctx.Done():
 			return s.finish()
@@ -162,9 +167,11 @@
 			s.sendCommittedCalls(s.owner.Clock.Now())
 			s.step(mfsched.CommitDone{Number: s.commitNumber, Rejected: s.rowsRejected(rejected)})
 		case e := <-s.events:
-			s.step(e)
+			s.activity.queued(len(s.events)+1, s.owner.Clock.Now().Sub(e.at))
+			s.step(e.Event)
 			s.applyPendingEvents()
 		case f := <-s.loopFuncs:
+			s.times.enter(PartMachines)
 			f()
 			if s.peerRelease.stored {
 				return errReleasedByPeer
@@ -184,6 +191,7 @@
 
 // round makes decisions on everything that happened since the last round.
 func (s *session) round(now time.Time) {
+	s.times.enter(PartOther)
 	s.owner.probeSpeed()
 	s.pollMachines(now)
 	s.tryPeerRelease(now)
@@ -198,7 +206,7 @@
 	for range eventBuffer {
 		select {
 		case e := <-s.events:
-			s.step(e)
+			s.step(e.Event)
 		default:
 			return
 		}
@@ -248,6 +256,8 @@
 }
 
 func (s *session) step(e mfsched.Event) {
+	before := s.times.enter(partOf(e))
+	defer s.times.enter(before)
 	for _, c := range s.state.Step(e, s.owner.Clock.Now()) {
 		s.execute(c)
 	}
@@ -256,6 +266,7 @@
 func (s *session) execute(c mfsched.Command) {
 	switch v := c.(type) {
 	case mfsched.Commit:
+		s.times.enter(PartEncoding)
 		s.commit(v)
 	case mfsched.Start:
 		go s.start(v)
--- a/mfrelay/server.go
+++ b/mfrelay/server.go
@@ -99,6 +99,19 @@
 	mutex      sync.Mutex
 	outcomes   []*mfwire.Outcome
 	openOrders int
+	activity   sessionActivity
+}
+
+// activityInterval is how often a relay logs its activity for an owner while it has orders.
+const activityInterval = time.Second
+
+// sessionActivity counts what a relay did for an owner since its last summary.
+type sessionActivity struct {
+	since    time.Time
+	orders   int
+	maxOpen  int
+	maxDelay time.Duration
+	messages int
 }
 
 func (s *Server) serve(ctx context.Context, session *mfsession.Session) {
@@ -158,6 +171,8 @@
 		return false
 	}
 	v.openOrders++
+	v.activity.orders++
+	v.activity.maxOpen = max(v.activity.maxOpen, v.openOrders)
 	return true
 }
 
@@ -203,6 +218,32 @@
 	}
 }
 
+// recordDelay records how late a timer fired, as it does on a host that is short of processor time.
+func (v *ownerSession) recordDelay(late time.Duration) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.activity.maxDelay = max(v.activity.maxDelay, late)
+}
+
+// logActivity logs the summary when it is due, unless there were no orders.
+func (v *ownerSession) logActivity() {
+	now := v.server.Clock.Now()
+	v.mutex.Lock()
+	a, open := v.activity, v.openOrders
+	due := now.Sub(a.since) >= activityInterval
+	if due {
+		v.activity = sessionActivity{since: now}
+	}
+	v.mutex.Unlock()
+	if !due || a.orders == 0 || a.since.IsZero() {
+		return
+	}
+	v.server.Log.WithFields(log.Fields{
+		"ms": now.Sub(a.since).Milliseconds(), "orders": a.orders, "open": open, "most_open": a.maxOpen,
+		"messages": a.messages, "longest_delay_ms": a.maxDelay.Milliseconds(),
+	}).Info("relay activity")
+}
+
 // send writes answers as they come. Each wake-up sends a message, so that a heartbeat is
 // answered even if there are no outcomes.
 func (v *ownerSession) send(stream net.Conn) {
@@ -212,11 +253,15 @@
 			return
 		case <-v.wake:
 		}
+		woken := v.server.Clock.Now()
 		<-v.server.Clock.After(answerBatchDelay)
+		v.recordDelay(v.server.Clock.Now().Sub(woken) - answerBatchDelay)
 		v.mutex.Lock()
 		message := &mfwire.Outcomes{Outcomes: v.outcomes, Leaving: v.server.isLeaving()}
 		v.outcomes = nil
+		v.activity.messages++
 		v.mutex.Unlock()
+		v.logActivity()
 		_ = stream.SetWriteDeadline(time.Now().Add(silenceTimeout))
 		if _, err := protodelim.MarshalTo(stream, message); err != nil {
 			v.server.Log.WithError(err).Info("write answers to owner failed")
--- a/mfsched/gang.go
+++ b/mfsched/gang.go
@@ -54,7 +54,7 @@
 	checkpoint := p.tasks[0].checkpoint
 	for i, w := range chosen {
 		p.tasks[i].checkpoint = checkpoint
-		s.plan(p.tasks[i], w, run+1)
+		s.plan(p.tasks[i], w, run+1, now)
 	}
 }
 
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -39,6 +39,9 @@
 			}})
 		}
 		s.recordArrival(j, now)
+		if s.OnTaskStage != nil && !j.submission.Lasts() {
+			s.OnTaskStage(JobArriving, now.Sub(j.submission.Accepted))
+		}
 	}
 	if e.Progress != nil {
 		j.state, j.rowStored = e.Progress.State, true
--- a/mfsched/order.go
+++ b/mfsched/order.go
@@ -80,6 +80,7 @@
 				continue
 			}
 			c := candidate{job: j, queue: q, steps: steps}
+			markReady(steps, now)
 			c.class, c.slack = s.classify(j, o, q, now)
 			c.remainingWork = remainingWork(o)
 			byService[q.Service] = append(byService[q.Service], c)
@@ -143,6 +144,15 @@
 	return out
 }
 
+// markReady records when steps became ready.
+func markReady(steps []*step, now time.Time) {
+	for _, p := range steps {
+		if p.readyAt.IsZero() {
+			p.readyAt = now
+		}
+	}
+}
+
 func dependenciesDone(o *occurrence, p *step) bool {
 	for _, a := range p.spec.After {
 		if o.steps[a].remaining > 0 {
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -45,6 +45,7 @@
 				continue
 			}
 			c.tried = true
+			s.effort.Candidates++
 			for _, p := range c.steps {
 				s.placeStep(*c, p, workers, normalTurnover, now)
 			}
@@ -96,7 +97,7 @@
 			s.logRowFull(c.job)
 			break
 		}
-		s.plan(t, w, t.highestRun()+1)
+		s.plan(t, w, t.highestRun()+1, now)
 		placed = append(placed, w)
 		if p.spec.Lasting {
 			runs = append(runs, fmt.Sprintf("%d run %d on %s", t.name.Index, t.run, w.at.Worker))
@@ -131,9 +132,10 @@
 
 // plan binds a task to a worker under a run number. The start order is sent once that is
 // stored.
-func (s *State) plan(t *task, w *worker, run mothferry.RunNumber) {
+func (s *State) plan(t *task, w *worker, run mothferry.RunNumber, now time.Time) {
+	s.endTaskStage(t, TaskReady, later(t.step.readyAt, t.unavailableSince), now)
 	s.assign(t, w, phasePlanned)
-	t.run = run
+	t.run, t.plannedAt = run, now
 	if t.suspect() {
 		w.trial = t
 	}
@@ -158,6 +160,7 @@
 	}
 	var best *worker
 	bestScore := 0.0
+	s.effort.Workers += len(workers)
 	for _, w := range workers {
 		if w.onTrial() || !s.fits(t, w) || s.stepTasksOn(t.step, w) >= perWorkerLimit(spec.PerWorker) {
 			continue
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -94,8 +94,7 @@
 	}
 	t.recordCheckpoint(r.Checkpoint, r.Percent)
 	if t.phase == phaseSent || t.phase == phaseUnresolved {
-		t.phase = phaseRunning
-		t.confirmedAt, t.unchangedFor = now, 0
+		s.runConfirmed(t, now)
 		if !t.inheritedAt.IsZero() {
 			t.inheritedAt = now
 		}
@@ -116,6 +115,15 @@
 	return true
 }
 
+// runConfirmed records that a run is known to exist.
+func (s *State) runConfirmed(t *task, now time.Time) {
+	if t.phase == phaseSent {
+		s.endTaskStage(t, TaskOrdered, t.lastStartSent, now)
+	}
+	t.phase = phaseRunning
+	t.confirmedAt, t.unchangedFor = now, 0
+}
+
 // updateUnavailableSince records since when a lasting task is not serving.
 func (t *task) updateUnavailableSince(now time.Time) {
 	if t.percent >= fullPace {
@@ -224,6 +232,7 @@
 	if e.Cause == mothferry.EndDone && !t.step.spec.Lasting {
 		if current {
 			s.recordSpeedEnd(t, w, now)
+			s.endTaskStage(t, TaskRunning, t.confirmedAt, now)
 		}
 		s.taskDone(t.origin(), w, now)
 		return
@@ -318,8 +327,7 @@
 	case ResultDone:
 		if t.phase == phaseSent {
 			s.losses.observeLatency(now.Sub(t.lastStartSent))
-			t.phase = phaseRunning
-			t.confirmedAt, t.unchangedFor = now, 0
+			s.runConfirmed(t, now)
 			s.recordSpeedStart(t, e.Clock)
 		}
 	case ResultUnknown:
--- a/mfsched/retention.go
+++ b/mfsched/retention.go
@@ -64,6 +64,9 @@
 func (s *State) finalStatesStored(now time.Time) {
 	for _, j := range s.finishedInCommit {
 		j.finalStored = true
+		if s.OnTaskStage != nil {
+			s.OnTaskStage(JobFinishing, now.Sub(j.finishedAt))
+		}
 		s.submissionsToDelete = append(s.submissionsToDelete, deletableSubmission{job: j, since: now})
 	}
 	s.finishedInCommit = nil
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -109,6 +109,8 @@
 	tailLatency time.Duration
 	// unavailableSince is when a lasting task became unavailable; zero while it serves.
 	unavailableSince time.Time
+	// plannedAt is when the current run was planned by this owner; zero if it was not.
+	plannedAt time.Time
 	// unavailableLogged reports whether the log says that it is unavailable.
 	unavailableLogged bool
 	pace              int
@@ -125,6 +127,8 @@
 	remaining int // tasks not done
 	// waiting counts the waiting tasks, whether the step's dependencies are done or not.
 	waiting int
+	// readyAt is when its dependencies were first seen to be done.
+	readyAt time.Time
 	// adviceRequestedAt is when the adviser was last asked, tickets what it granted.
 	adviceRequestedAt time.Time
 	advicePending     bool
@@ -195,6 +199,10 @@
 	PriorLeaseEnd time.Time
 	// Off holds the features that are switched off.
 	Off mothferry.FeaturesOff
+	// OnTickStage is called at the beginning of each stage of a Tick, OnTaskStage with the
+	// duration of each stage of a task; both may be nil.
+	OnTickStage func(stage TickStage)
+	OnTaskStage func(stage TaskStage, took time.Duration)
 
 	loaded bool
 	queues map[mothferry.QueueID]Queue
@@ -284,6 +292,7 @@
 	// cancelledEarly holds the cancellations of jobs that have not been found yet.
 	cancelledEarly map[mothferry.JobID]bool
 
+	effort   Effort
 	commands []Command
 }
 
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -16,8 +16,10 @@
 // tick does what is due by time: polls, resent starts, periodic housekeeping, placement and
 // the next commit.
 func (s *State) tick(now time.Time) {
+	s.beginStage(StagePolls)
 	s.pollWorkers(now)
 	s.resendOverdueStarts(now)
+	s.beginStage(StageHousekeeping)
 	if now.Sub(s.lastHousekeeping) >= housekeepingInterval {
 		s.lastHousekeeping = now
 		s.expireLeases(now)
@@ -33,8 +35,10 @@
 	if s.commitInFlight || now.Sub(s.lastCommit) < minCommitInterval {
 		return
 	}
+	s.beginStage(StagePlacement)
 	s.beginDueOccurrences(now)
 	s.place(now)
+	s.beginStage(StageCommit)
 	s.commit(now)
 }
 
@@ -208,6 +212,9 @@
 	t.startsSent++
 	t.startsPending++
 	t.lastStartSent, t.unchangedFor = now, 0
+	if t.startsSent == 1 {
+		s.endTaskStage(t, TaskPlanned, t.plannedAt, now)
+	}
 	s.pendingStarts = append(s.pendingStarts, sentStart{task: t, run: t.run, at: now})
 	s.emit(Start{At: w.at, Order: order})
 }
