mfsched: search a size that fits nowhere once a round

A round now computes the free capacity of a service's workers once, in a slice, and keeps the sizes that fit on no worker: capacity only shrinks within a round. The relocation of stragglers had such a list already; both use the same one now, which drops sizes that another covers. Trials and load are counted per round, not per suspect task.

--- a/mfsched/crash.go
+++ b/mfsched/crash.go
@@ -304,39 +304,23 @@
 }
 
 // extendPostponement postpones the task's trial further if its service is loaded.
-func (t *task) extendPostponement(workers []*worker, now time.Time) {
-	if now.Before(t.trialDeadline) && coreLoad(workers) > moderateLoad {
+func (t *task) extendPostponement(load float64, now time.Time) {
+	if now.Before(t.trialDeadline) && load > moderateLoad {
 		t.trialPostponedUntil = now.Add(maxTrialDelayModerate)
 	}
 }
 
 // trialPostponed reports whether the task's trial waits for a lightly loaded service.
-func (t *task) trialPostponed(workers []*worker, now time.Time) bool {
-	return now.Before(t.trialDeadline) && now.Before(t.trialPostponedUntil) && coreLoad(workers) > maxTrialLoad
+func (t *task) trialPostponed(load float64, now time.Time) bool {
+	return now.Before(t.trialDeadline) && now.Before(t.trialPostponedUntil) && load > maxTrialLoad
 }
 
 // mayStartTrial reports whether one more of a service's usable workers may try the task now.
-func (t *task) mayStartTrial(workers []*worker, now time.Time) bool {
-	if t.trialPostponed(workers, now) {
+func (t *task) mayStartTrial(capacity *placementCapacity, now time.Time) bool {
+	if t.trialPostponed(capacity.load(), now) {
 		return false
 	}
-	trials := 0
-	for _, w := range workers {
-		if w.onTrial() {
-			trials++
-		}
-	}
-	return trials < max(1, int(maxTrialShare*float64(len(workers))))
-}
-
-// coreLoad returns the fraction of the workers' cores that is in use.
-func coreLoad(workers []*worker) float64 {
-	var used, capacity mothferry.Millicores
-	for _, w := range workers {
-		used += w.used.Cores
-		capacity += w.Capacity.Cores
-	}
-	return float64(used) / float64(max(1, capacity))
+	return capacity.trials < max(1, int(maxTrialShare*float64(len(capacity.workers))))
 }
 
 // resetCrashes forgets crashes under a lasting task that has run for a while.
--- a/mfsched/fair_share.go
+++ b/mfsched/fair_share.go
@@ -41,7 +41,7 @@
 // updateFairShares computes each flow's fair share of each service's capacity for this round. If
 // there is more work than capacity, placement by urgency alone would give the capacity to the
 // accounts that submitted the most.
-func (s *State) updateFairShares(byService map[mothferry.ServiceID][]candidate, usable map[mothferry.ServiceID][]*worker, now time.Time) {
+func (s *State) updateFairShares(byService map[mothferry.ServiceID][]candidate, placements map[mothferry.ServiceID]*placementCapacity, now time.Time) {
 	for _, l := range s.flows {
 		l.wanted, l.fairShare = mfdemand.Amount{}, 0
 	}
@@ -65,9 +65,9 @@
 		}
 	}
 	capacities := map[mothferry.ServiceID]float64{}
-	for service, workers := range usable {
+	for service, p := range placements {
 		sum := mfdemand.Amount{}
-		for _, w := range workers {
+		for _, w := range p.workers {
 			sum = sum.Add(mfdemand.AmountOf(w.Capacity))
 		}
 		capacities[service] = mfshare.PackingEfficiency * sum.UsableCores(demands[service])
--- a/mfsched/gang.go
+++ b/mfsched/gang.go
@@ -36,7 +36,7 @@
 
 // placeGang places all members of a gang or none: some of them would only reserve capacity
 // while they wait for the others.
-func (s *State) placeGang(c candidate, p *step, workers []*worker, now time.Time) {
+func (s *State) placeGang(c candidate, p *step, capacity *placementCapacity, now time.Time) {
 	if p.waiting < p.remaining {
 		return
 	}
@@ -50,22 +50,23 @@
 	if !c.job.account.admitsAll(p.spec.Need, len(p.tasks)) {
 		return
 	}
-	chosen := s.draftGang(c, p, workers, now)
+	chosen := s.draftGang(c, p, capacity, now)
 	checkpoint := p.tasks[0].checkpoint
 	for i, w := range chosen {
 		p.tasks[i].checkpoint = checkpoint
 		s.plan(p.tasks[i], w, run+1, now)
+		capacity.taken(p.tasks[i], w)
 	}
 }
 
 // draftGang returns a worker for each member of a gang; nil if not all of them can be placed.
-func (s *State) draftGang(c candidate, p *step, workers []*worker, now time.Time) []*worker {
+func (s *State) draftGang(c candidate, p *step, capacity *placementCapacity, now time.Time) []*worker {
 	s.draft = &gangDraft{step: p, members: map[*worker]int{}}
 	defer func() { s.draft = nil }()
 	room := s.rowRoomOf(c.job)
 	var chosen []*worker
 	for _, t := range p.tasks {
-		w := s.chooseWorker(c, t, workers, now)
+		w := s.chooseWorker(c, t, capacity, now)
 		if w == nil {
 			return nil
 		}
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -15,27 +15,26 @@
 func (s *State) place(now time.Time) {
 	s.countOrphaned()
 	byService := s.candidates(now)
-	usable := map[mothferry.ServiceID][]*worker{}
+	capacities := map[mothferry.ServiceID]*placementCapacity{}
 	for service := range byService {
-		usable[service] = s.usable(service, now)
+		capacities[service] = s.placementCapacityOf(service, now)
 	}
 	if s.sharesEnabled() {
-		s.updateFairShares(byService, usable, now)
-		s.placeMatching(byService, usable, (*candidate).withinFairShare, now)
-		s.placeMatching(byService, usable, (*candidate).hasCredit, now)
+		s.updateFairShares(byService, capacities, now)
+		s.placeMatching(byService, capacities, (*candidate).withinFairShare, now)
+		s.placeMatching(byService, capacities, (*candidate).hasCredit, now)
 	}
-	s.placeMatching(byService, usable, func(*candidate) bool { return true }, now)
+	s.placeMatching(byService, capacities, func(*candidate) bool { return true }, now)
 }
 
 // placeMatching assigns tasks of matching candidates to workers. Each candidate is tried once
 // per call of place, in the first pass that it matches.
-func (s *State) placeMatching(byService map[mothferry.ServiceID][]candidate, usable map[mothferry.ServiceID][]*worker, matches func(*candidate) bool, now time.Time) {
+func (s *State) placeMatching(byService map[mothferry.ServiceID][]candidate, capacities map[mothferry.ServiceID]*placementCapacity, matches func(*candidate) bool, now time.Time) {
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
-		list, workers := byService[service], usable[service]
-		if len(workers) == 0 {
+		list, capacity := byService[service], capacities[service]
+		if len(capacity.workers) == 0 {
 			continue
 		}
-		normalTurnover := s.turnoverOf(workers)
 		for i := range list {
 			if len(s.dirty) >= maxCommitJobs {
 				return
@@ -47,7 +46,7 @@
 			c.tried = true
 			s.effort.Candidates++
 			for _, p := range c.steps {
-				s.placeStep(*c, p, workers, normalTurnover, now)
+				s.placeStep(*c, p, capacity, now)
 			}
 		}
 	}
@@ -69,9 +68,9 @@
 		!now.Before(w.pausedUntil) && !now.Before(w.health.quarantinedUntil)
 }
 
-func (s *State) placeStep(c candidate, p *step, workers []*worker, normalTurnover *turnover, now time.Time) {
+func (s *State) placeStep(c candidate, p *step, capacity *placementCapacity, now time.Time) {
 	if p.spec.Gang {
-		s.placeGang(c, p, workers, now)
+		s.placeGang(c, p, capacity, now)
 		return
 	}
 	var placed []*worker
@@ -84,13 +83,13 @@
 		if !c.job.account.admits(p.spec.Need) {
 			break
 		}
-		w := s.chooseWorker(c, t, workers, now)
+		w := s.chooseWorker(c, t, capacity, now)
 		if w == nil && t.suspect() {
 			// A suspect task may have to wait for its trial; the other tasks of the step need
 			// not wait for that.
 			continue
 		}
-		if w == nil || normalTurnover != nil && w.slowStatus.Degraded() && s.canRunOnNormalWorker(t, workers) && normalTurnover.shouldWait(t, w, now) {
+		if w == nil || capacity.turnover != nil && w.slowStatus.Degraded() && s.canRunOnNormalWorker(t, capacity.workers) && capacity.turnover.shouldWait(t, w, now) {
 			break
 		}
 		if !room.take(w) {
@@ -98,6 +97,7 @@
 			break
 		}
 		s.plan(t, w, t.highestRun()+1, now)
+		capacity.taken(t, w)
 		placed = append(placed, w)
 		if p.spec.Lasting {
 			runs = append(runs, fmt.Sprintf("%d run %d on %s", t.name.Index, t.run, w.at.Worker))
@@ -150,31 +150,53 @@
 // chooseWorker returns the feasible worker with the highest score for a task, or nil. In an
 // advised queue only workers for which the step has a ticket are feasible; if none is, it asks
 // the adviser.
-func (s *State) chooseWorker(c candidate, t *task, workers []*worker, now time.Time) *worker {
-	spec := t.step.spec
+func (s *State) chooseWorker(c candidate, t *task, capacity *placementCapacity, now time.Time) *worker {
 	if t.suspect() {
-		t.extendPostponement(workers, now)
-		if !t.mayStartTrial(workers, now) {
+		t.extendPostponement(capacity.load(), now)
+		if !t.mayStartTrial(capacity, now) {
 			return nil
 		}
 	}
 	var best *worker
-	bestScore := 0.0
-	s.effort.Workers += len(workers)
-	for _, w := range workers {
-		if w.onTrial() || !s.fits(t, w) || s.stepTasksOn(t.step, w) >= perWorkerLimit(spec.PerWorker) {
+	if !capacity.cannotFit(t.step.spec) {
+		best = s.bestWorker(c, t, capacity, now)
+	}
+	if best == nil && c.queue.Advised {
+		s.requestAdvice(t.step, capacity.workers, now)
+	}
+	return best
+}
+
+// bestWorker compares the workers with enough free capacity for a task. It records if there are
+// none.
+func (s *State) bestWorker(c candidate, t *task, capacity *placementCapacity, now time.Time) *worker {
+	s.effort.Workers += len(capacity.workers)
+	spec, size := t.step.spec, t.step.spec.Reservation()
+	preference, limit := t.hasPreference(), perWorkerLimit(t.step.spec.PerWorker)
+	var best *worker
+	bestScore, fits := 0.0, false
+	for i := range capacity.free {
+		if !size.Fits(capacity.free[i]) {
 			continue
 		}
-		if c.queue.Advised && !s.hasTicket(t.step, w, now) {
+		w, score := capacity.workers[i], capacity.packing[i]
+		if !hasLabel(w, spec.Label) {
+			continue
+		}
+		fits = true
+		if preference {
+			score = s.score(t, w)
+		}
+		if best != nil && score <= bestScore || s.draft != nil && !s.fits(t, w) || s.stepTasksOn(t.step, w) >= limit {
 			continue
 		}
-		score := s.score(t, w)
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
+		if c.queue.Advised && !s.hasTicket(t.step, w, now) {
+			continue
 		}
+		best, bestScore = w, score
 	}
-	if best == nil && c.queue.Advised {
-		s.requestAdvice(t.step, workers, now)
+	if !fits {
+		capacity.unplaceable.add(spec)
 	}
 	return best
 }
@@ -270,8 +292,8 @@
 			score += weightMaintenanceDue
 		}
 	}
-	if w.slowStatus.Degraded() && !spec.Lasting && !spec.Gang {
-		score += max(weightSlowFloor, weightSlow*(1/w.slowStatus.RelativeSpeed()-1))
+	if !spec.Lasting && !spec.Gang {
+		score += slownessScore(w)
 	}
 	if spec.Fills || spec.TailTarget > 0 {
 		score += weightInterference * float64(interferingTasks(t, w))
--- a/mfsched/straggler.go
+++ b/mfsched/straggler.go
@@ -84,15 +84,14 @@
 	workers []*worker
 	free    []mothferry.Resources
 	index   map[*worker]int
-	// unplaceable holds the sizes that fit on no worker, by the label that the task requires.
-	unplaceable map[string][]mothferry.Resources
+	unplaceable
 	// corrected caches the results of correctedSubmission.
 	corrected map[*job]mfjob.Submission
 }
 
 // relocationCapacityOf returns the free capacity of a service's normal workers.
 func (s *State) relocationCapacityOf(service mothferry.ServiceID, now time.Time) *relocationCapacity {
-	r := &relocationCapacity{index: map[*worker]int{}, unplaceable: map[string][]mothferry.Resources{}, corrected: map[*job]mfjob.Submission{}}
+	r := &relocationCapacity{index: map[*worker]int{}, unplaceable: unplaceable{}, corrected: map[*job]mfjob.Submission{}}
 	for _, w := range s.sortedWorkers {
 		if w.Service != service || w.slowStatus.Degraded() || w.onTrial() || !s.isSchedulable(w, now) {
 			continue
@@ -123,18 +122,12 @@
 		}
 	}
 	if i < 0 {
-		r.unplaceable[spec.Label] = append(r.unplaceable[spec.Label], spec.Reservation())
+		r.unplaceable.add(spec)
 		return
 	}
 	r.free[i] = r.free[i].Sub(spec.Reservation())
 }
 
-// cannotFit reports whether a task of a step is known to fit on no worker.
-func (r *relocationCapacity) cannotFit(spec *mfjob.Step) bool {
-	larger := func(size mothferry.Resources) bool { return size.Fits(spec.Reservation()) }
-	return slices.ContainsFunc(r.unplaceable[""], larger) || spec.Label != "" && slices.ContainsFunc(r.unplaceable[spec.Label], larger)
-}
-
 // relocatable reports whether a task might end sooner if it is relocated.
 func (t *task) relocatable(w *worker, l Limits) bool {
 	if t.phase != phaseRunning || !t.measuresSpeed() || t.copyOf != nil || t.copyTask != nil || t.suspect() || t.job.state.Final() {
@@ -258,7 +251,7 @@
 		}
 	}
 	if !fits {
-		r.unplaceable[spec.Label] = append(r.unplaceable[spec.Label], spec.Reservation())
+		r.unplaceable.add(spec)
 	}
 	return best
 }
