mfsched: keep the memory of candidates from round to round

Candidates are kept in a buffer that the next round uses again, sorted as pointers by computed keys; the remaining path of an occurrence is kept until more of its steps are done.

--- a/mfsched/account.go
+++ b/mfsched/account.go
@@ -127,7 +127,7 @@
 // withinRate reports whether a job that arrives now is within its account's rate. Without an
 // account or a rate, every job is, and so is every lasting job.
 func (j *job) withinRate(now time.Time) bool {
-	if j.account == nil || j.account.Weight <= 0 || j.submission.Lasts() {
+	if j.account == nil || j.account.Weight <= 0 || j.lasts {
 		return true
 	}
 	return j.account.allowance.Take(j.account.Weight, now)
--- a/mfsched/demand.go
+++ b/mfsched/demand.go
@@ -111,7 +111,7 @@
 
 // recordArrival records the work of a job that has arrived.
 func (s *State) recordArrival(j *job, now time.Time) {
-	if j.submission.Lasts() {
+	if j.lasts {
 		return
 	}
 	service := s.queueOf(j).Service
--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -72,7 +72,7 @@
 func (s *State) lastingTasksToPlace(service mothferry.ServiceID) int {
 	count := 0
 	for _, j := range s.live {
-		if !j.submission.Lasts() || s.queueOf(j).Service != service {
+		if !j.lasts || s.queueOf(j).Service != service {
 			continue
 		}
 		for t := range j.tasks() {
--- a/mfsched/fair_share.go
+++ b/mfsched/fair_share.go
@@ -41,13 +41,13 @@
 // updateFairShares computes each flow's fair share of each service's capacity for this round. If
 // there is more work than capacity, placement by urgency alone would give the capacity to the
 // accounts that submitted the most.
-func (s *State) updateFairShares(byService map[mothferry.ServiceID][]candidate, placements map[mothferry.ServiceID]*placementCapacity, now time.Time) {
+func (s *State) updateFairShares(byService map[mothferry.ServiceID][]*candidate, placements map[mothferry.ServiceID]*placementCapacity, now time.Time) {
 	for _, l := range s.flows {
 		l.wanted, l.fairShare = mfdemand.Amount{}, 0
 	}
 	for _, list := range byService {
-		for i := range list {
-			list[i].job.flow.addWanted(&list[i])
+		for _, c := range list {
+			c.job.flow.addWanted(c)
 		}
 	}
 	var claims []mfshare.Claim
--- a/mfsched/gang.go
+++ b/mfsched/gang.go
@@ -36,7 +36,7 @@
 
 // placeGang places all members of a gang or none: some of them would only reserve capacity
 // while they wait for the others.
-func (s *State) placeGang(c candidate, p *step, capacity *placementCapacity, now time.Time) {
+func (s *State) placeGang(c *candidate, p *step, capacity *placementCapacity, now time.Time) {
 	if p.waiting < p.remaining {
 		return
 	}
@@ -60,7 +60,7 @@
 }
 
 // draftGang returns a worker for each member of a gang; nil if not all of them can be placed.
-func (s *State) draftGang(c candidate, p *step, capacity *placementCapacity, now time.Time) []*worker {
+func (s *State) draftGang(c *candidate, p *step, capacity *placementCapacity, now time.Time) []*worker {
 	s.draft = &gangDraft{step: p, members: map[*worker]int{}}
 	defer func() { s.draft = nil }()
 	room := s.rowRoomOf(c.job)
--- a/mfsched/gang_trace_test.go
+++ b/mfsched/gang_trace_test.go
@@ -72,7 +72,7 @@
 		}
 		s.commands = nil
 		before := copies(s)
-		s.placeGang(candidate{job: j, queue: s.queueOf(j)}, p, s.placementCapacityOf("s", now), now)
+		s.placeGang(&candidate{job: j}, p, s.placementCapacityOf("s", now), now)
 		s.TakeEffort() // a count for the log
 		assert.Assert(t, reflect.DeepEqual(copies(s), before))
 	})
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -29,7 +29,7 @@
 		s.finishJob(j, mfjob.StateFailed, now)
 		return
 	}
-	j.criticalPath = e.Submission.CriticalPath()
+	j.criticalPath, j.lasts = e.Submission.CriticalPath(), e.Submission.Lasts()
 	if e.Progress == nil && s.loaded {
 		// With fair shares an account's jobs keep their order of arrival: later jobs within
 		// the rate would otherwise delay earlier ones that hosts have admitted as on time.
@@ -39,7 +39,7 @@
 			}})
 		}
 		s.recordArrival(j, now)
-		if s.OnTaskStage != nil && !j.submission.Lasts() {
+		if s.OnTaskStage != nil && !j.lasts {
 			s.OnTaskStage(JobArriving, now.Sub(j.submission.Accepted))
 		}
 	}
--- a/mfsched/order.go
+++ b/mfsched/order.go
@@ -1,7 +1,8 @@
 package mfsched
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"mothferry"
@@ -27,29 +28,35 @@
 
 // candidate is an occurrence of a job with tasks that could start now.
 type candidate struct {
-	job   *job
-	queue Queue
-	class deadlineClass
+	service mothferry.ServiceID
+	job     *job
+	// priority is that of the job's queue, advised reports whether the adviser decides which
+	// workers may run its steps.
+	priority int
+	advised  bool
+	class    deadlineClass
 	// slack is how much longer the job can wait without leaving its class; negative if it is
 	// too late.
 	slack time.Duration
 	// remainingWork is the work that is not done, in core-seconds.
 	remainingWork float64
-	steps         []*step
+	// urgency orders the candidates that can be on time.
+	urgency float64
+	steps   []*step
 	// tried reports whether this round has already tried to place the candidate.
 	tried bool
 }
 
 // classify returns the deadline class and slack of an occurrence of a job.
 func (s *State) classify(j *job, o *occurrence, q Queue, now time.Time) (deadlineClass, time.Duration) {
-	if j.submission.Lasts() {
+	if j.lasts {
 		return classLasting, 0
 	}
 	start := j.submission.Accepted
 	if !o.scheduledAt.IsZero() {
 		start = o.scheduledAt
 	}
-	remaining := j.submission.RemainingCriticalPath(func(step int) bool { return o.steps[step].remaining == 0 })
+	remaining := o.remainingPath(j)
 	objective := mfjob.Objective(q.Stretch, q.Latency, j.criticalPath)
 	slack := start.Add(objective).Sub(now) - remaining
 	lateSlack := start.Add(mfjob.TooLateFactor*objective).Sub(now) - remaining
@@ -67,53 +74,71 @@
 
 // candidates returns the occurrences of jobs of each service that could start tasks now, in the
 // order of placement.
-func (s *State) candidates(now time.Time) map[mothferry.ServiceID][]candidate {
-	byService := map[mothferry.ServiceID][]candidate{}
+func (s *State) candidates(now time.Time) map[mothferry.ServiceID][]*candidate {
+	r := &s.candidateBuffer
+	r.candidates, r.steps = r.candidates[:0], r.steps[:0]
 	for _, j := range s.live {
+		if len(j.occurrences) == 0 {
+			continue
+		}
 		q := s.queueOf(j)
 		for _, o := range j.occurrences {
 			if o.scheduledAt.After(now) {
 				break
 			}
-			steps := readySteps(o)
-			if len(steps) == 0 {
+			first := len(r.steps)
+			r.steps = appendReadySteps(r.steps, o)
+			if len(r.steps) == first {
 				continue
 			}
-			c := candidate{job: j, queue: q, steps: steps}
-			markReady(steps, now)
+			c := candidate{job: j, priority: q.Priority, advised: q.Advised, steps: r.steps[first:len(r.steps):len(r.steps)]}
+			markReady(c.steps, now)
 			c.class, c.slack = s.classify(j, o, q, now)
 			c.remainingWork = remainingWork(o)
-			byService[q.Service] = append(byService[q.Service], c)
+			c.urgency = urgency(c.slack, c.remainingWork)
+			c.service = q.Service
+			r.candidates = append(r.candidates, c)
 		}
 	}
+	byService := map[mothferry.ServiceID][]*candidate{}
+	for i := range r.candidates {
+		c := &r.candidates[i]
+		byService[c.service] = append(byService[c.service], c)
+	}
 	for _, list := range byService {
-		sort.Slice(list, func(a, b int) bool { return candidateLess(list[a], list[b]) })
+		slices.SortFunc(list, compareCandidates)
 	}
 	return byService
 }
 
-// candidateLess orders candidates by class; those on time by urgency, the others by the
+// candidateBuffer holds the memory of the candidates of a round, which the next round uses again.
+type candidateBuffer struct {
+	candidates []candidate
+	steps      []*step
+}
+
+// compareCandidates orders candidates by class; those on time by urgency, the others by the
 // queue's priority and then by slack.
-func candidateLess(a, b candidate) bool {
+func compareCandidates(a, b *candidate) int {
 	switch {
 	case a.class != b.class:
-		return a.class < b.class
-	case a.queue.Priority != b.queue.Priority && a.class != classOnTime:
-		return a.queue.Priority < b.queue.Priority
-	case a.class == classOnTime && a.urgency() != b.urgency():
-		return a.urgency() < b.urgency()
+		return cmp.Compare(a.class, b.class)
+	case a.priority != b.priority && a.class != classOnTime:
+		return cmp.Compare(a.priority, b.priority)
+	case a.class == classOnTime && a.urgency != b.urgency:
+		return cmp.Compare(a.urgency, b.urgency)
 	case a.slack != b.slack:
-		return a.slack < b.slack
+		return cmp.Compare(a.slack, b.slack)
 	default:
-		return a.job.id < b.job.id
+		return cmp.Compare(a.job.id, b.job.id)
 	}
 }
 
 // urgency orders jobs that can be on time; the lowest goes first. Ordering by slack alone
 // fails under overload: capacity then goes to jobs that all miss their objectives by a little.
 // Jobs that are small or nearly done free capacity soonest.
-func (c candidate) urgency() float64 {
-	return c.slack.Seconds() + weightRemainingWork*c.remainingWork
+func urgency(slack time.Duration, remainingWork float64) float64 {
+	return slack.Seconds() + weightRemainingWork*remainingWork
 }
 
 // weightRemainingWork is how many seconds of slack a core-second of remaining work is worth. A
@@ -129,10 +154,27 @@
 	return sum
 }
 
+// remainingPath returns the length of the critical path through the steps that are not done. It is
+// computed again once more steps are done.
+func (o *occurrence) remainingPath(j *job) time.Duration {
+	open := 0
+	for _, p := range o.steps {
+		if p.remaining > 0 {
+			open++
+		}
+	}
+	if open != o.pathSteps {
+		o.pathSteps = open
+		o.path = j.submission.RemainingCriticalPath(func(step int) bool { return o.steps[step].remaining == 0 })
+	}
+	return o.path
+}
+
 // readySteps returns the steps of an occurrence that have waiting tasks and whose dependencies
 // are done.
-func readySteps(o *occurrence) []*step {
-	var out []*step
+func readySteps(o *occurrence) []*step { return appendReadySteps(nil, o) }
+
+func appendReadySteps(out []*step, o *occurrence) []*step {
 	for _, p := range o.steps {
 		if p.waiting == 0 {
 			continue
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -29,24 +29,23 @@
 
 // placeMatching assigns tasks of matching candidates to workers. Each candidate is tried once
 // per call of place, in the first pass that it matches.
-func (s *State) placeMatching(byService map[mothferry.ServiceID][]candidate, capacities map[mothferry.ServiceID]*placementCapacity, matches func(*candidate) bool, now time.Time) {
+func (s *State) placeMatching(byService map[mothferry.ServiceID][]*candidate, capacities map[mothferry.ServiceID]*placementCapacity, matches func(*candidate) bool, now time.Time) {
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		list, capacity := byService[service], capacities[service]
 		if len(capacity.workers) == 0 {
 			continue
 		}
-		for i := range list {
+		for _, c := range list {
 			if len(s.dirty) >= maxCommitJobs {
 				return
 			}
-			c := &list[i]
 			if c.tried || !matches(c) {
 				continue
 			}
 			c.tried = true
 			s.effort.Candidates++
 			for _, p := range c.steps {
-				s.placeStep(*c, p, capacity, now)
+				s.placeStep(c, p, capacity, now)
 			}
 		}
 	}
@@ -68,7 +67,7 @@
 		!now.Before(w.pausedUntil) && !now.Before(w.health.quarantinedUntil)
 }
 
-func (s *State) placeStep(c candidate, p *step, capacity *placementCapacity, now time.Time) {
+func (s *State) placeStep(c *candidate, p *step, capacity *placementCapacity, now time.Time) {
 	if p.spec.Gang {
 		s.placeGang(c, p, capacity, now)
 		return
@@ -150,7 +149,7 @@
 // chooseWorker returns the feasible worker with the highest score for a task, or nil. In an
 // advised queue only workers for which the step has a ticket are feasible; if none is, it asks
 // the adviser.
-func (s *State) chooseWorker(c candidate, t *task, capacity *placementCapacity, now time.Time) *worker {
+func (s *State) chooseWorker(c *candidate, t *task, capacity *placementCapacity, now time.Time) *worker {
 	if t.suspect() {
 		t.extendPostponement(capacity.load(), now)
 		if !t.mayStartTrial(capacity, now) {
@@ -161,7 +160,7 @@
 	if !capacity.cannotFit(t.step.spec) {
 		best = s.bestWorker(c, t, capacity, now)
 	}
-	if best == nil && c.queue.Advised {
+	if best == nil && c.advised {
 		s.requestAdvice(t.step, capacity.workers, now)
 	}
 	return best
@@ -169,7 +168,7 @@
 
 // bestWorker compares the workers with enough free capacity for a task. It records if there are
 // none.
-func (s *State) bestWorker(c candidate, t *task, capacity *placementCapacity, now time.Time) *worker {
+func (s *State) bestWorker(c *candidate, t *task, capacity *placementCapacity, now time.Time) *worker {
 	s.effort.Workers += len(capacity.workers)
 	spec, size := t.step.spec, t.step.spec.Reservation()
 	preference, limit := t.hasPreference(), perWorkerLimit(t.step.spec.PerWorker)
@@ -190,7 +189,7 @@
 		if best != nil && score <= bestScore || s.draft != nil && !s.fits(t, w) || s.stepTasksOn(t.step, w) >= limit {
 			continue
 		}
-		if c.queue.Advised && !s.hasTicket(t.step, w, now) {
+		if c.advised && !s.hasTicket(t.step, w, now) {
 			continue
 		}
 		best, bestScore = w, score
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -156,6 +156,9 @@
 	number      int
 	scheduledAt time.Time
 	steps       []*step
+	// path is the critical path through its open steps, as of when pathSteps of them were open.
+	path      time.Duration
+	pathSteps int
 }
 
 // job is a job that is not finished, or was not deleted yet.
@@ -186,7 +189,9 @@
 	// is stored or in the commit in flight.
 	dirty, rowStored bool
 	criticalPath     time.Duration
-	finishedAt       time.Time
+	// lasts reports whether the job runs until it is cancelled.
+	lasts      bool
+	finishedAt time.Time
 	// finalStored reports whether its final state is stored.
 	finalStored bool
 }
@@ -292,8 +297,9 @@
 	// cancelledEarly holds the cancellations of jobs that have not been found yet.
 	cancelledEarly map[mothferry.JobID]bool
 
-	effort   Effort
-	commands []Command
+	candidateBuffer candidateBuffer
+	effort          Effort
+	commands        []Command
 }
 
 // New returns a scheduler without jobs for an owner that took over its shard at takenOver.
--- a/mfsched/unavailable.go
+++ b/mfsched/unavailable.go
@@ -6,7 +6,7 @@
 // unavailable for so long that it counts as missing.
 func (s *State) logUnavailableTasks(now time.Time) {
 	for _, j := range s.live {
-		if !j.submission.Lasts() {
+		if !j.lasts {
 			continue
 		}
 		for t := range j.tasks() {
