--- a/mfsched/copy.go
+++ b/mfsched/copy.go
@@ -87,7 +87,7 @@
 	} else {
 		t.checkpointAhead = true
 	}
-	t.worker.tasks[t.name] = t
+	t.worker.tasks.replace(c, t)
 	for _, runs := range [][]plannedRun{s.planned, s.committing} {
 		for i := range runs {
 			if runs[i].task == c {
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -175,7 +175,7 @@
 		t.step.waiting--
 	}
 	t.worker, t.phase, t.reservedOn, t.checkpointAhead = w, p, nil, false
-	w.tasks[t.name] = t
+	w.tasks.add(t)
 	w.used = w.used.Add(t.step.spec.Reservation())
 	t.job.account.addUsage(t.step.spec.Need)
 	t.job.flow.used = t.job.flow.used.Add(t.step.spec.Need)
@@ -187,7 +187,7 @@
 	if t.worker == nil {
 		return
 	}
-	delete(t.worker.tasks, t.name)
+	t.worker.tasks.remove(t)
 	t.worker.used = t.worker.used.Sub(t.step.spec.Reservation())
 	t.job.account.removeUsage(t.step.spec.Need)
 	t.job.flow.used = t.job.flow.used.Sub(t.step.spec.Need)
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -28,7 +28,7 @@
 	// answer clears it. unresponsiveSince is when it was set.
 	unresponsive      bool
 	unresponsiveSince time.Time
-	tasks             map[mothferry.TaskName]*task
+	tasks             taskList
 	used              mothferry.Resources
 
 	// clock is the worker's clock as last read, at clockReadAt at the latest.
@@ -75,6 +75,25 @@
 	hungJobs   map[mothferry.JobID]time.Time
 }
 
+// taskList holds the tasks of a worker in the order in which they were assigned, which is about that
+// in which a worker reports them.
+type taskList []*task
+
+func (l *taskList) add(t *task) { *l = append(*l, t) }
+
+func (l *taskList) remove(t *task) {
+	if i := slices.Index(*l, t); i >= 0 {
+		*l = slices.Delete(*l, i, i+1)
+	}
+}
+
+// replace puts one task in the place of another.
+func (l taskList) replace(old, t *task) {
+	if i := slices.Index(l, old); i >= 0 {
+		l[i] = t
+	}
+}
+
 // tasksWhere returns the tasks on a worker for which keep holds, in the order of their names.
 func (w *worker) tasksWhere(keep func(t *task) bool) []*task {
 	var out []*task
@@ -138,7 +157,7 @@
 // addWorker adds a worker that is not known yet. It need not be listed if it has work from a
 // previous owner.
 func (s *State) addWorker(id mothferry.WorkerID) *worker {
-	w := &worker{at: mothferry.WorkerAddress{Worker: id}, tasks: map[mothferry.TaskName]*task{}, orphans: map[runID]orphanStop{}}
+	w := &worker{at: mothferry.WorkerAddress{Worker: id}, orphans: map[runID]orphanStop{}}
 	w.priorLeaseEnd = s.PriorLeaseEnd
 	s.workers[id] = w
 	at, _ := slices.BinarySearchFunc(s.sortedWorkers, id, byID)
