mfsched, mfspeed: make reports of workers and housekeeping cheaper

A report looked each run up by its name in three places and built a set of names; the search for stuck tasks computed each running task's time-out 20 times a second; the speed of each worker was computed with two sorts that compared job ids in each comparison; and the medians of jobs gathered the rates of all jobs, of which few have enough.

A report's runs are found among the worker's own tasks, and marked with the number of the report. Workers whose tasks have all advanced within the shortest time-out are left out of the search for stuck ones. Evidence is sorted once.

--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -1,6 +1,7 @@
 package mfsched
 
 import (
+	"slices"
 	"time"
 
 	"mothferry"
@@ -36,10 +37,12 @@
 			w.lastEndSeen = max(w.lastEndSeen, end.Number)
 		}
 	}
-	listed := map[mothferry.TaskName]bool{}
-	for _, r := range e.Report.Running {
-		if s.runReported(w, r, now) {
-			listed[r.Task] = true
+	s.reports++
+	w.longestUnchanged = 0
+	for i, r := range e.Report.Running {
+		if t := s.runReported(w, r, i, now); t != nil {
+			t.reportedIn = s.reports
+			w.longestUnchanged = max(w.longestUnchanged, t.unchangedFor)
 		}
 	}
 	w.dropEndedOrphans(e.Report.Running, e.Sent)
@@ -48,7 +51,7 @@
 		w.nextPoll = now
 		return
 	}
-	for _, t := range w.tasksWhere(func(t *task) bool { return !listed[t.name] }) {
+	for _, t := range w.tasksWhere(func(t *task) bool { return t.reportedIn != s.reports }) {
 		s.runMissing(w, t, e.Sent, now)
 	}
 	w.fenced = true
@@ -80,17 +83,17 @@
 	w.unresponsive = true
 }
 
-// runReported handles one entry of what a worker runs. It reports whether the entry is the run
-// that the task is assigned to have there.
-func (s *State) runReported(w *worker, r mothferry.RunningTask, now time.Time) bool {
-	t := s.lookUpAt(r.Task, w.at.Worker)
+// runReported handles an entry of what a worker runs, at some place of its report. It returns the
+// task if the entry is the run that the task is assigned to have there, and otherwise nil.
+func (s *State) runReported(w *worker, r mothferry.RunningTask, place int, now time.Time) *task {
+	t := s.reportedTask(w, r, place)
 	if (t == nil || t.worker != w || t.run != r.Run) && !s.adoptRun(w, r, now) {
 		orphan := runID{task: r.Task, run: r.Run}
 		if _, known := w.orphans[orphan]; !known {
 			s.logOrphan(w, orphan)
 		}
 		s.stopOrphan(w, orphan, now)
-		return false
+		return nil
 	}
 	t.recordCheckpoint(r.Checkpoint, r.Percent)
 	if t.phase == phaseSent || t.phase == phaseUnresolved {
@@ -112,7 +115,25 @@
 		t.updateUnavailableSince(now)
 		s.resetCrashes(t, now)
 	}
-	return true
+	return t
+}
+
+// maxScannedTasks is up to how many tasks of a worker are scanned for one before it is looked up.
+const maxScannedTasks = 16
+
+// reportedTask returns the task of an entry, like lookUpAt. Workers mostly report tasks in the order
+// in which they were assigned.
+func (s *State) reportedTask(w *worker, r mothferry.RunningTask, place int) *task {
+	isReported := func(t *task) bool { return t.run == r.Run && t.name == r.Task }
+	if place < len(w.tasks) && isReported(w.tasks[place]) {
+		return w.tasks[place]
+	}
+	if len(w.tasks) <= maxScannedTasks {
+		if i := slices.IndexFunc(w.tasks, isReported); i >= 0 {
+			return w.tasks[i]
+		}
+	}
+	return s.lookUpAt(r.Task, w.at.Worker)
 }
 
 // runConfirmed records that a run is known to exist.
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -114,6 +114,8 @@
 	// unavailableLogged reports whether the log says that it is unavailable.
 	unavailableLogged bool
 	pace              int
+	// reportedIn is the last report in which its worker had the current run.
+	reportedIn int
 }
 
 // assigned reports whether a run of the task is, or may be, on a worker.
@@ -257,8 +259,8 @@
 
 	// losses estimates whether polls are being lost, and how long workers take to answer.
 	losses losses
-	// pollCount counts all polls.
-	pollCount int
+	// pollCount counts all polls, reports the answers that tell what a worker runs.
+	pollCount, reports int
 	// pendingStarts holds the start orders that were sent, oldest first.
 	pendingStarts []sentStart
 	// relocating holds tasks that were stopped for falling behind and have yet to start
--- a/mfsched/stuck.go
+++ b/mfsched/stuck.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mothferry"
+	"mothferry/mfstraggler"
 )
 
 const (
@@ -24,7 +25,7 @@
 // it.
 func (s *State) stopStuck(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if w.unresponsive || !w.fenced {
+		if w.unresponsive || !w.fenced || w.longestUnchanged <= mfstraggler.MinHangTime {
 			continue
 		}
 		for _, t := range w.tasksWhere(s.stuck) {
@@ -45,6 +46,9 @@
 
 func (s *State) stuck(t *task) bool {
 	spec := t.step.spec
+	if t.unchangedFor <= mfstraggler.MinHangTime {
+		return false
+	}
 	if t.phase != phaseRunning || t.pace < fullPace || spec.Gang || spec.Fills {
 		return false
 	}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -29,6 +29,9 @@
 	unresponsive      bool
 	unresponsiveSince time.Time
 	tasks             taskList
+	// longestUnchanged is the longest time for which one of its tasks had made no progress by the
+	// last answer.
+	longestUnchanged time.Duration
 	used              mothferry.Resources
 
 	// clock is the worker's clock as last read, at clockReadAt at the latest.
--- a/mfspeed/baseline.go
+++ b/mfspeed/baseline.go
@@ -181,10 +181,21 @@
 	bl.updateJobs()
 }
 
+// updateJobs computes the medians of jobs. Most jobs have too few runs for one, so that these are
+// counted first.
 func (bl *baseline) updateJobs() {
+	counts := make(map[mothferry.JobID]int, len(bl.runs))
+	for _, runs := range bl.runs {
+		for i := range runs {
+			counts[runs[i].job]++
+		}
+	}
 	rates, workers := map[mothferry.JobID][]float64{}, map[mothferry.JobID]int{}
 	for _, runs := range bl.runs {
 		for i, r := range runs {
+			if counts[r.job] < minRuns {
+				continue
+			}
 			rates[r.job] = append(rates[r.job], r.rate)
 			if !slices.ContainsFunc(runs[:i], func(o recordedRun) bool { return o.job == r.job }) {
 				workers[r.job]++
@@ -193,7 +204,7 @@
 	}
 	bl.jobMedians = map[mothferry.JobID]float64{}
 	for job, list := range rates {
-		if len(list) >= minRuns && workers[job] >= minWorkers {
+		if workers[job] >= minWorkers {
 			bl.jobMedians[job] = median(list)
 		}
 	}
--- a/mfspeed/evidence.go
+++ b/mfspeed/evidence.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"mothferry"
@@ -55,7 +56,11 @@
 }
 
 // Evidence gathers the current evidence of a worker's speed. It may be reused after Reset.
-type Evidence struct{ observations []observation }
+type Evidence struct {
+	observations []observation
+	// deviations is memory that Speed uses again.
+	deviations []float64
+}
 
 // Reset removes all evidence.
 func (e *Evidence) Reset() { e.observations = e.observations[:0] }
@@ -98,16 +103,15 @@
 	if n == 0 {
 		return Speed{}
 	}
-	slices.SortFunc(e.observations, func(a, b observation) int {
-		return cmp.Or(cmp.Compare(a.deviation, b.deviation), cmp.Compare(a.spread, b.spread), cmp.Compare(a.job, b.job))
-	})
+	slices.SortFunc(e.observations, compareObservations)
+	e.deviations = e.deviations[:0]
 	spread := 0.0
-	for _, v := range e.observations {
-		spread += v.spread / float64(n)
+	for i := range e.observations {
+		spread += e.observations[i].spread / float64(n)
+		e.deviations = append(e.deviations, e.observations[i].deviation)
 	}
-	s := Speed{Runs: n, Relative: math.Exp(e.observations[n/2].deviation), Uncertainty: spread / math.Sqrt(float64(n))}
-	slices.SortStableFunc(e.observations, func(a, b observation) int { return cmp.Compare(a.job, b.job) })
-	var fast []float64
+	s := Speed{Runs: n, Relative: math.Exp(median(e.deviations)), Uncertainty: spread / math.Sqrt(float64(n))}
+	fast := e.deviations[:0]
 	for rest := e.observations; len(rest) > 0; {
 		end := slices.IndexFunc(rest, func(v observation) bool { return v.job != rest[0].job })
 		if end < 0 {
@@ -124,6 +128,17 @@
 	return s
 }
 
+// compareObservations orders observations by job, and those of a job by deviation.
+func compareObservations(a, b observation) int {
+	if c := strings.Compare(string(a.job), string(b.job)); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.deviation, b.deviation); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.spread, b.spread)
+}
+
 // UpperBound returns an upper bound on Fast: upperStdErrors standard errors above it.
 func (s Speed) UpperBound() float64 { return s.Fast * math.Exp(upperStdErrors*s.Uncertainty) }
 
--- a/mfstraggler/hang.go
+++ b/mfstraggler/hang.go
@@ -7,15 +7,15 @@
 	// after which it counts as hung. A slow worker's tasks advance at a sixth of the speed,
 	// and a task that takes several times its estimate is slower again by that factor.
 	hangPercents = 40
-	// minHangTime is the shortest such time, a few polls long.
-	minHangTime = 500 * time.Millisecond
+	// MinHangTime is the shortest such time, a few polls long.
+	MinHangTime = 500 * time.Millisecond
 )
 
 // HangTimeout returns after how long without progress a task with the given estimate counts as
 // hung on a worker with the given speed, if such tasks are known to advance. It detects
 // workers that answer polls but never end some of their tasks.
 func HangTimeout(estimate time.Duration, speed float64) time.Duration {
-	return max(minHangTime, time.Duration(hangPercents*float64(estimate)/100/max(speed, minSpeed)))
+	return max(MinHangTime, time.Duration(hangPercents*float64(estimate)/100/max(speed, minSpeed)))
 }
 
 const (
