--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -21,7 +21,7 @@
 	head.CallAges, head.MaxCapacity = s.callAges(now), s.machines.maxCapacity
 	head.CalledBy = maps.Clone(s.machines.calledBy)
 	if pending, known := s.state.Pending(); known {
-		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, s.state.Waits(now)
+		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, s.waits(now)
 		head.Shares = s.shares(now)
 	}
 	head = s.fitHead(head)
@@ -70,9 +70,18 @@
 	return head
 }
 
-// sharesInterval is how often account shares are computed: about as often as hosts read them.
+// sharesInterval is how often account shares and waits are computed: about as often as hosts read
+// them.
 const sharesInterval = 200 * time.Millisecond
 
+// waits returns the estimated waits to publish in the head row.
+func (s *session) waits(now time.Time) map[mothferry.ServiceID]time.Duration {
+	if now.Sub(s.waitsComputedAt) >= sharesInterval {
+		s.waitsComputedAt, s.publishedWaits = now, s.state.Waits(now)
+	}
+	return s.publishedWaits
+}
+
 // shares returns the allocation to publish in the head row.
 func (s *session) shares(now time.Time) mfshare.Allocation {
 	if now.Sub(s.sharesComputedAt) >= sharesInterval {
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -63,6 +63,9 @@
 	// publishedShares is the allocation last published to hosts, sharesComputedAt when it was
 	// computed.
 	publishedShares mfshare.Allocation
+	// publishedWaits holds the waits last published to hosts, computed at waitsComputedAt.
+	publishedWaits  map[mothferry.ServiceID]time.Duration
+	waitsComputedAt time.Time
 	// headTrimmed reports whether the head is stored without some counts.
 	headTrimmed      bool
 	sharesComputedAt time.Time
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -68,7 +68,7 @@
 // commit stores the jobs that changed, or renews the ownership if none did.
 func (s *State) commit(now time.Time) {
 	required := s.commitRequested
-	for _, w := range s.workers {
+	for _, w := range s.sortedWorkers {
 		if w.lastEndSeen > w.lastEndStored {
 			required = true
 			break
@@ -102,9 +102,9 @@
 	s.committing, s.planned = s.splitPlanned(c)
 	clear(s.endsInCommit)
 	if len(rest) == 0 {
-		for id, w := range s.workers {
+		for _, w := range s.sortedWorkers {
 			if w.lastEndSeen > w.lastEndStored {
-				s.endsInCommit[id] = w.lastEndSeen
+				s.endsInCommit[w.at.Worker] = w.lastEndSeen
 			}
 		}
 	}
