--- a/mflog/bounded.go
+++ b/mflog/bounded.go
@@ -30,6 +30,8 @@
 	// maxQueuedLines is the capacity of the queue: about two seconds of the busiest owner's
 	// lines, or 1 MiB at their usual length.
 	maxQueuedLines = 2048
+	// maxWriteBytes is the size from which on a write takes no further line.
+	maxWriteBytes = 32 << 10
 	// closeTimeout bounds how long Close waits for the queued lines to be written.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -58,7 +60,7 @@
 	for {
 		select {
 		case line := <-b.lines:
-			reported = b.write(line, reported)
+			reported = b.write(b.withQueued(line), reported)
 		case <-b.closing:
 			for range len(b.lines) {
 				reported = b.write(<-b.lines, reported)
@@ -68,7 +70,19 @@
 	}
 }
 
-// write writes one line and, if the queue is empty, the number of lines dropped since
+// withQueued returns a line with those that follow it in the queue, up to maxWriteBytes, so that a
+// busy daemon makes few writes.
+func (b *BoundedWriter) withQueued(line []byte) []byte {
+	for range len(b.lines) {
+		if len(line) >= maxWriteBytes {
+			break
+		}
+		line = append(line, <-b.lines...)
+	}
+	return line
+}
+
+// write writes lines and, if the queue is empty, the number of lines dropped since
 // the last report. It returns the number of dropped lines reported so far.
 func (b *BoundedWriter) write(line []byte, reported int64) int64 {
 	// A line that can't be written is lost: there is no other output to report it to.
--- a/mfowner/machines.go
+++ b/mfowner/machines.go
@@ -98,15 +98,20 @@
 	s.logMachineChanges(machines)
 	s.machines.maxCapacity = maxCapacityOf(machines)
 	s.step(mfsched.FleetCapacityReported{Cores: totalCores(machines)})
-	for _, e := range s.machines.incarnations.Ended(machines, s.state.Loads(), now) {
+	loads := s.state.Loads()
+	ended := s.machines.incarnations.Ended(machines, loads, now)
+	for _, e := range ended {
 		e.ListedAt = requested
 		s.step(e)
 	}
 	if !s.confirmedWithin(s.callWindow(), now) {
 		return
 	}
+	if len(ended) > 0 {
+		loads = s.state.Loads()
+	}
 	calls := s.machines.planner.Plan(mfduty.Fleet{
-		Machines: machines, Loads: s.state.Loads(), Demands: s.state.Demands(now), Standby: s.machines.standby,
+		Machines: machines, Loads: loads, Demands: s.state.Demands(now), Standby: s.machines.standby,
 		Blocked: s.predecessor.blocked(now, s.owner.handoverDelay()),
 	}, now)
 	s.step(mfsched.WorkersToEvacuate{Workers: s.machines.planner.Evacuating(), MaintenanceDue: s.machines.planner.AwaitingMaintenance(machines)})
--- a/mfsched/capacity.go
+++ b/mfsched/capacity.go
@@ -42,7 +42,6 @@
 	// free is the free capacity of each worker, packing its score for a task without preferences.
 	free    []mothferry.Resources
 	packing []float64
-	index   map[*worker]int
 	unplaceable
 	// used and total are the workers' cores; trials counts the workers on trial.
 	used, total mothferry.Millicores
@@ -57,9 +56,8 @@
 	p := &placementCapacity{workers: s.usable(service, now), unplaceable: unplaceable{}}
 	p.turnover = s.turnoverOf(p.workers)
 	p.free, p.packing = make([]mothferry.Resources, len(p.workers)), make([]float64, len(p.workers))
-	p.index = make(map[*worker]int, len(p.workers))
 	for i, w := range p.workers {
-		p.index[w] = i
+		w.slot = i
 		p.used += w.used.Cores
 		p.total += w.Capacity.Cores
 		p.free[i], p.packing[i] = w.Capacity.Sub(w.reserved()), packingScore(w)
@@ -73,11 +71,7 @@
 
 // taken records that a task was assigned to a worker.
 func (p *placementCapacity) taken(t *task, w *worker) {
-	i, known := p.index[w]
-	if !known {
-		return
-	}
-	size := t.step.spec.Reservation()
+	i, size := w.slot, t.step.spec.Reservation()
 	p.used += size.Cores
 	p.free[i], p.packing[i] = p.free[i].Sub(size), packingScore(w)
 	if w.onTrial() {
--- a/mfsched/gang_trace_test.go
+++ b/mfsched/gang_trace_test.go
@@ -71,8 +71,9 @@
 			x.checkpoint = mothferry.Checkpoint(rapid.SampledFrom([]string{"", "c"}).Draw(t, "checkpoint"))
 		}
 		s.commands = nil
+		capacity := s.placementCapacityOf("s", now)
 		before := copies(s)
-		s.placeGang(&candidate{job: j}, p, s.placementCapacityOf("s", now), now)
+		s.placeGang(&candidate{job: j}, p, capacity, now)
 		s.TakeEffort() // a count for the log
 		assert.Assert(t, reflect.DeepEqual(copies(s), before))
 	})
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -313,7 +313,7 @@
 }
 
 func progressOfOccurrence(o *occurrence) []mfjob.StepProgress {
-	var steps []mfjob.StepProgress
+	steps := make([]mfjob.StepProgress, 0, len(o.steps))
 	for _, st := range o.steps {
 		steps = append(steps, progressOfStep(st))
 	}
@@ -332,7 +332,7 @@
 	if st.remaining == 0 {
 		return mfjob.StepProgress{Done: true}
 	}
-	var out mfjob.StepProgress
+	out := mfjob.StepProgress{Tasks: make([]mfjob.TaskProgress, 0, len(st.tasks))}
 	for _, t := range st.tasks {
 		stored := mfjob.TaskProgress{
 			Done: t.phase == phaseDone, Run: t.highestRun(), Failures: t.failures, Crashes: t.crashes,
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -29,6 +29,8 @@
 	unresponsive      bool
 	unresponsiveSince time.Time
 	tasks             taskList
+	// slot is its place among the workers of the current placement round.
+	slot int
 	// longestUnchanged is the longest time for which one of its tasks had made no progress by the
 	// last answer.
 	longestUnchanged time.Duration
