mfrelay, mfowner: fewer, larger messages between the owner and its relays

Orders are gathered for 3 ms in place of 1, answers for 10 in place of 4, and rounds come every 10 ms.

--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -23,9 +23,9 @@
 	// tickInterval is how often the scheduler gets a tick.
 	tickInterval = 10 * time.Millisecond
 	// minRoundInterval is the minimum time between two rounds of decisions. At a traffic peak
-	// two thousand answers per second arrive, and a round for each would scan all workers each
-	// time. It is a fifth of the time between two polls or commits.
-	minRoundInterval = 4 * time.Millisecond
+	// two thousand answers per second arrive, and a round for each would cost more than what it
+	// decides. It is half of the time between two polls or commits.
+	minRoundInterval = 10 * time.Millisecond
 	// inboxLongPoll is how long the store may hold a request for inbox changes.
 	inboxLongPoll = 900 * time.Millisecond
 	// inboxBatchInterval batches jobs that arrive close together.
--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -27,11 +27,11 @@
 	// long without a message a relay is lost: three heartbeats and a margin.
 	heartbeatInterval = 120 * time.Millisecond
 	silenceTimeout    = 450 * time.Millisecond
-	// orderBatchDelay is how long orders wait for others to be sent with them: those of one
-	// commit arrive within it. answerBatchDelay is the same for answers, of which a relay has
-	// two hundred a second one by one: the owner decides no sooner anyway.
-	orderBatchDelay  = time.Millisecond
-	answerBatchDelay = 4 * time.Millisecond
+	// orderBatchDelay is how long orders wait for others to be sent with them, answerBatchDelay the
+	// same for answers. Messages cost the owner more than what is in them: with dozens of relays
+	// each of them is a wake-up and a read or a write.
+	orderBatchDelay  = 3 * time.Millisecond
+	answerBatchDelay = 10 * time.Millisecond
 	// maxFrame bounds one message, in bytes: the answers of 80 workers with 500 ended tasks
 	// each, at less than 200 bytes a task.
 	maxFrame = 8 << 20
