mfusage: let the heap of an owner grow to a third of the host's memory

While it owns the shard a host collects when the heap reaches a third of its memory, and as by default where that is less; other hosts are as before.

--- a/mffleet/relay.go
+++ b/mffleet/relay.go
@@ -8,6 +8,7 @@
 
 	"mothferry/mfrecord"
 	"mothferry/mfrelay"
+	"mothferry/mfusage"
 )
 
 // buildRelay sets up relaying: the client for this host's orders while it owns the shard,
@@ -57,10 +58,11 @@
 	return ctx.Err()
 }
 
-// followRelays keeps links to relays while this host owns the shard.
+// followRelays keeps links to relays, and lets the heap grow, while this host owns the shard.
 func (d *Daemon) followRelays(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { _ = d.directory().Follow(ctx, d.relay.SetHosts) })
 	group.Go(func() { _ = d.relay.Run(ctx) })
+	group.Go(func() { (&mfusage.Collector{Memory: d.Settings.Memory, Clock: d.Clock}).Run(ctx) })
 	group.Wait()
 }
--- a/mffleet/setting.go
+++ b/mffleet/setting.go
@@ -26,6 +26,8 @@
 	Forward string
 	// Cores is the processor capacity that this host may use.
 	Cores mothferry.Millicores
+	// Memory is this host's memory; zero if it is not known.
+	Memory mothferry.Bytes
 	// Link is the capacity of this host's link; zero if it is not known.
 	Link mothferry.Bandwidth
 	// Grace bounds the duration of a planned stop.
