mfowner, mfsched: bound rounds and refuse what the owner itself can't start in time

A round's length followed from what waits, and hosts refused jobs by the cores that a pool can get, never by what the owner can start: it fell behind while all were accepted.

Rounds take at most half of the loop's time: the next one starts no sooner than twice the duration of the last.

--- a/mfemulate/host.go
+++ b/mfemulate/host.go
@@ -96,7 +96,7 @@
 	w := o.world
 	head := mfrecord.Head{Holder: "emulated", Epoch: o.epoch}
 	if pending, known := o.state.Pending(); known && len(w.hosts) > 0 {
-		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, o.state.Waits(w.now)
+		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, o.state.Waits(0, w.now)
 		if w.now.Sub(o.allocatedAt) >= allocationInterval {
 			o.allocatedAt, o.allocation = w.now, o.state.Allocations(w.now)
 		}
--- a/mfowner/activity.go
+++ b/mfowner/activity.go
@@ -41,6 +41,14 @@
 	a.maxQueue, a.maxQueueWait = max(a.maxQueue, length), max(a.maxQueueWait, wait)
 }
 
+// started returns the number of tasks that were started.
+func (a *activity) started() int {
+	if t := a.stages[mfsched.TaskPlanned]; t != nil {
+		return t.count
+	}
+	return 0
+}
+
 // taskStageEnded records how long a stage of a task took.
 func (s *session) taskStageEnded(stage mfsched.TaskStage, took time.Duration) {
 	if s.owner.OnTaskStage != nil {
@@ -88,6 +96,7 @@
 	if s.owner.OnLoopTime != nil {
 		s.owner.OnLoopTime(spent, a.maxQueueWait)
 	}
+	s.startCapacity.update(spent[PartIdle], now.Sub(a.since), a.started())
 	g := s.state.Gauge(now)
 	if g.Live > 0 {
 		fields := log.Fields{
--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -77,7 +77,7 @@
 // waits returns the estimated waits to publish in the head row.
 func (s *session) waits(now time.Time) map[mothferry.ServiceID]time.Duration {
 	if now.Sub(s.waitsComputedAt) >= sharesInterval {
-		s.waitsComputedAt, s.publishedWaits = now, s.state.Waits(now)
+		s.waitsComputedAt, s.publishedWaits = now, s.state.Waits(s.startCapacity.rate, now)
 	}
 	return s.publishedWaits
 }
--- a/mfowner/looptime.go
+++ b/mfowner/looptime.go
@@ -69,6 +69,33 @@
 	}
 }
 
+const (
+	// minIdleFraction is the idle fraction of the loop's time below which it is saturated.
+	minIdleFraction = 0.1
+	// minSaturated is the number of summaries in a row that must find the loop saturated: reading
+	// the jobs of a previous owner takes it for a moment, too.
+	minSaturated = 2
+)
+
+// startCapacity is how many tasks a second the loop can start. The zero value is a loop that keeps
+// up.
+type startCapacity struct {
+	saturated int
+	// rate is zero while the loop keeps up.
+	rate float64
+}
+
+// update applies the loop's idle time and the tasks that it started since the last summary.
+func (c *startCapacity) update(idle, elapsed time.Duration, started int) {
+	if elapsed <= 0 || idle.Seconds() >= minIdleFraction*elapsed.Seconds() {
+		*c = startCapacity{}
+		return
+	}
+	if c.saturated++; c.saturated >= minSaturated {
+		c.rate = max(1, float64(started)/elapsed.Seconds())
+	}
+}
+
 // queuedEvent is an event that waits for the loop.
 type queuedEvent struct {
 	mfsched.Event
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -66,6 +66,7 @@
 	// publishedWaits holds the waits last published to hosts, computed at waitsComputedAt.
 	publishedWaits  map[mothferry.ServiceID]time.Duration
 	waitsComputedAt time.Time
+	startCapacity   startCapacity
 	// headTrimmed reports whether the head is stored without some counts.
 	headTrimmed      bool
 	sharesComputedAt time.Time
@@ -153,7 +154,7 @@
 func (s *session) loop() error {
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
-	lastRound := s.owner.Clock.Now()
+	lastRound, lastRoundTook := s.owner.Clock.Now(), time.Duration(0)
 	for {
 		s.times.enter(PartIdle)
 		select {
@@ -182,16 +183,21 @@
 		case <-timer.C:
 		}
 		now := s.owner.Clock.Now()
-		if wait := minRoundInterval - now.Sub(lastRound); wait > 0 {
+		if wait := roundInterval(lastRoundTook) - now.Sub(lastRound); wait > 0 {
 			timer.Reset(wait)
 			continue
 		}
 		lastRound = now
 		s.round(now)
+		lastRoundTook = s.owner.Clock.Now().Sub(now)
 		timer.Reset(tickInterval)
 	}
 }
 
+// roundInterval returns the time from the start of one round of decisions to the start of the next.
+// Rounds take at most half of the loop's time, so that answers are handled however much waits.
+func roundInterval(lastTook time.Duration) time.Duration { return max(minRoundInterval, 2*lastTook) }
+
 // round makes decisions on everything that happened since the last round.
 func (s *session) round(now time.Time) {
 	s.times.enter(PartOther)
--- a/mfsched/wait.go
+++ b/mfsched/wait.go
@@ -27,21 +27,23 @@
 	for _, j := range s.live {
 		q := s.queueOf(j)
 		b := backlogOf(q.Service)
-		b.Work[j.submission.Account] += s.waitingWork(j, q, now)
+		work, tasks := s.waitingWork(j, q, now)
+		b.Work[j.submission.Account] += work
+		b.Tasks += tasks
 		backlogs[q.Service] = b
 	}
 	return backlogs
 }
 
-// Waits returns a lower bound for each service on how long work that arrives now would wait.
-func (s *State) Waits(now time.Time) map[mothferry.ServiceID]time.Duration {
-	return mfshare.Waits(s.Backlogs(now), s.fleetCores)
+// Waits returns a lower bound for each service on how long work that arrives now would wait, given
+// how many tasks the owner can start a second; zero if that does not bind.
+func (s *State) Waits(startRate float64, now time.Time) map[mothferry.ServiceID]time.Duration {
+	return mfshare.Waits(s.Backlogs(now), s.fleetCores, startRate)
 }
 
-// waitingWork returns a job's waiting work in core-seconds. Work that is too late does not count,
-// nor does that of lasting jobs.
-func (s *State) waitingWork(j *job, q Queue, now time.Time) float64 {
-	sum := 0.0
+// waitingWork returns a job's waiting work in core-seconds, and its waiting tasks. Work that is too
+// late does not count, nor does that of lasting jobs.
+func (s *State) waitingWork(j *job, q Queue, now time.Time) (sum float64, tasks int) {
 	for _, o := range j.occurrences {
 		if o.scheduledAt.After(now) {
 			break
@@ -51,7 +53,8 @@
 		}
 		for _, p := range o.steps {
 			sum += coreSeconds(p.spec) * float64(p.waiting)
+			tasks += p.waiting
 		}
 	}
-	return sum
+	return sum, tasks
 }
