--- a/mfsched/evacuate.go
+++ b/mfsched/evacuate.go
@@ -10,12 +10,23 @@
 // a time as their steps may miss, and only where there is free capacity elsewhere: a waiting
 // task is less useful than one that runs until its worker ends.
 func (s *State) evacuate(now time.Time) {
+	rooms := map[mothferry.ServiceID]*evacuationRoom{}
 	for _, w := range s.sortedWorkers {
 		if !s.toEvacuate[w.at.Worker] && !w.Draining || w.unresponsive {
 			continue
 		}
 		for _, t := range w.tasksWhere(func(t *task) bool { return t.step.spec.Lasting && t.phase == phaseRunning }) {
-			if s.mayStop(t, now) && !t.job.account.overLimit() && s.fitsElsewhere(t, now) {
+			if !s.mayStop(t, now) || t.job.account.overLimit() {
+				continue
+			}
+			service := s.queueOf(t.job).Service
+			room := rooms[service]
+			if room == nil {
+				room = s.evacuationRoomOf(service, now)
+				rooms[service] = room
+			}
+			if s.fitsElsewhere(t, room) {
+				room.toPlace++
 				s.emit(Decision{Message: "task is moved away", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{"step": t.name.Step, "index": t.name.Index, "run": t.run}})
 				s.stop(t, now)
 			}
@@ -54,12 +65,22 @@
 	return count
 }
 
+// evacuationRoom is what a service has for the lasting tasks that are moved.
+type evacuationRoom struct {
+	usable []*worker
+	// toPlace is the number of lasting tasks that wait or are being stopped.
+	toPlace int
+}
+
+func (s *State) evacuationRoomOf(service mothferry.ServiceID, now time.Time) *evacuationRoom {
+	return &evacuationRoom{usable: s.usable(service, now), toPlace: s.lastingTasksToPlace(service)}
+}
+
 // fitsElsewhere reports whether the usable workers of a task's service have free capacity for
 // it and for all lasting tasks that are yet to be placed, which are assumed to be as large.
-func (s *State) fitsElsewhere(t *task, now time.Time) bool {
-	service := s.queueOf(t.job).Service
-	need := 1 + s.lastingTasksToPlace(service)
-	for _, w := range s.usable(service, now) {
+func (s *State) fitsElsewhere(t *task, room *evacuationRoom) bool {
+	need := 1 + room.toPlace
+	for _, w := range room.usable {
 		need -= s.slotsFor(t, w, need)
 		if need <= 0 {
 			return true
