--- a/mfsession/session.go
+++ b/mfsession/session.go
@@ -3,6 +3,7 @@
 package mfsession
 
 import (
+	"encoding/binary"
 	"net"
 	"sync"
 
@@ -50,12 +51,30 @@
 	return trace.Wrap(s.Session.Close())
 }
 
-// connection signals when its session has announced its end.
+// connection signals when its session has announced its end. It joins the header of a data frame
+// and the body that follows it, which yamux writes separately: each write is a packet that wakes the
+// other side.
 type connection struct {
 	net.Conn
 
 	once          sync.Once
 	sessionClosed chan struct{}
+	// frame is the header that waits for its body. Only the session's sending goroutine writes.
+	frame []byte
+}
+
+// The header of a yamux frame has its type in the second byte and the length of its body in the last
+// four.
+const (
+	headerSize   = 12
+	typeOffset   = 1
+	lengthOffset = 8
+	typeData     = 0
+)
+
+// precedesBody reports whether data is a header that is followed by a body.
+func precedesBody(data []byte) bool {
+	return len(data) == headerSize && data[typeOffset] == typeData && binary.BigEndian.Uint32(data[lengthOffset:]) > 0
 }
 
 func newConnection(c net.Conn) *connection {
@@ -65,12 +84,19 @@
 // Write implements net.Conn. After an error it returns only once the receiving goroutine has
 // ended the session; otherwise the sending goroutine would end it first.
 func (c *connection) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
+	if len(c.frame) == 0 && precedesBody(data) {
+		c.frame = append(c.frame, data...)
+		return len(data), nil
+	}
+	c.frame = append(c.frame, data...)
+	_, err := c.Conn.Write(c.frame)
+	c.frame = c.frame[:0]
 	if err != nil {
 		_ = c.Conn.Close()
 		<-c.sessionClosed
+		return 0, err
 	}
-	return n, err
+	return len(data), nil
 }
 
 // Close implements net.Conn; the session calls it as it ends.
--- a/mfsession/session_test.go
+++ b/mfsession/session_test.go
@@ -162,3 +162,43 @@
 	})
 	return found
 }
+
+// countingConnection counts the writes of a connection.
+type countingConnection struct {
+	net.Conn
+
+	writes atomic.Int64
+}
+
+func (c *countingConnection) Write(data []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(data)
+}
+
+// Guards against two writes, and two packets, for each message.
+func TestMessageIsOneWrite(t *testing.T) {
+	near, far := net.Pipe()
+	counting := &countingConnection{Conn: near}
+	config := yamux.DefaultConfig()
+	config.LogOutput, config.EnableKeepAlive = io.Discard, false
+	client, err := mfsession.Client(counting, config)
+	assert.NilError(t, err)
+	server, err := mfsession.Server(far, config)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	out, err := client.OpenStream()
+	assert.NilError(t, err)
+	in, err := server.AcceptStream()
+	assert.NilError(t, err)
+	before := counting.writes.Load()
+	const messages = 20
+	message, received := []byte("twelve bytes"), make([]byte, 12)
+	for range messages {
+		_, err := out.Write(message)
+		assert.NilError(t, err)
+		_, err = io.ReadFull(in, received)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, received, message)
+	}
+	assert.Equal(t, counting.writes.Load()-before, int64(messages))
+}
