mfrelay: do not count workers that are gone for six seconds

Workers count for 3 s, as each is polled at least every 2.

TestRelaysAreChosenForPresentWorkers failed before (1,700 workers counted of 1,100) and passes.

--- a/mfrelay/choose.go
+++ b/mfrelay/choose.go
@@ -104,8 +104,9 @@
 }
 
 // rosterTTL is after how long without a call a worker no longer counts: an owner polls each
-// worker at least every two seconds.
-const rosterTTL = 6 * time.Second
+// worker at least every two seconds. Machines that change pools get workers with new ids, and
+// those with the old ones must not count for long.
+const rosterTTL = 3 * time.Second
 
 // countByDataCentre returns how many workers each data centre has, and removes those that no
 // longer count.
--- a/mfrelay/choose_test.go
+++ b/mfrelay/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -108,3 +109,24 @@
 		assert.Equal(t, len(Choose(hosts, workers, MaxDirectWorkers(link), avoidNone)), relays, "link of %d bits a second", link)
 	}
 }
+
+// Guards against relays for workers that are gone: with a seventh of the machines changing pools each
+// second, an owner had links to nearly twice the relays that its workers need.
+func TestRelaysAreChosenForPresentWorkers(t *testing.T) {
+	const present, replacedEachSecond, seconds = 1100, 150, 20
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := roster{workers: map[mothferry.WorkerID]*assignment{}}
+	call := func(id int, at time.Time) {
+		r.workers[mothferry.WorkerID(fmt.Sprintf("w-%d", id))] = &assignment{dataCentre: "a", lastCalled: at}
+	}
+	first := 0
+	for second := range seconds {
+		at := start.Add(time.Duration(second) * time.Second)
+		first += replacedEachSecond
+		for id := first; id < first+present; id++ {
+			call(id, at)
+		}
+		counted := r.countByDataCentre(at)["a"]
+		assert.Assert(t, counted >= present && counted < present*3/2, "second %d: %d workers", second, counted)
+	}
+}
