mfowner: bound the pause after a round

A host that is frozen in a round for seconds would have paused for as long after it, and lost the shard: found by reading the change again, not seen in a run. The pause is 0.1 s at the most.

--- a/mfowner/looptime_test.go
+++ b/mfowner/looptime_test.go
@@ -46,4 +46,5 @@
 func TestRoundsLeaveHalfOfTheLoop(t *testing.T) {
 	assert.Equal(t, roundInterval(time.Millisecond), minRoundInterval)
 	assert.Equal(t, roundInterval(40*time.Millisecond), 80*time.Millisecond)
+	assert.Equal(t, roundInterval(3*time.Second), 3*time.Second+maxRoundPause, "frozen in a round")
 }
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -26,6 +26,9 @@
 	// two thousand answers per second arrive, and a round for each would cost more than what it
 	// decides. It is half of the time between two polls or commits.
 	minRoundInterval = 10 * time.Millisecond
+	// maxRoundPause bounds the pause after a round: a host that was frozen in a round must renew its
+	// ownership soon.
+	maxRoundPause = 100 * time.Millisecond
 	// inboxLongPoll is how long the store may hold a request for inbox changes.
 	inboxLongPoll = 900 * time.Millisecond
 	// inboxBatchInterval batches jobs that arrive close together.
@@ -196,7 +199,9 @@
 
 // roundInterval returns the time from the start of one round of decisions to the start of the next.
 // Rounds take at most half of the loop's time, so that answers are handled however much waits.
-func roundInterval(lastTook time.Duration) time.Duration { return max(minRoundInterval, 2*lastTook) }
+func roundInterval(lastTook time.Duration) time.Duration {
+	return max(minRoundInterval, lastTook+min(lastTook, maxRoundPause))
+}
 
 // round makes decisions on everything that happened since the last round.
 func (s *session) round(now time.Time) {
