--- a/mfsched/limits.go
+++ b/mfsched/limits.go
@@ -89,8 +89,6 @@
 	// minPollInterval is the minimum time between two polls of a worker: one poll returns all
 	// ends within it. Longer intervals cost fewer calls but delay jobs with chains of steps.
 	minPollInterval = 20 * time.Millisecond
-	// pollScanInterval is the minimum time between two scans of all workers for polls that are due.
-	pollScanInterval = 10 * time.Millisecond
 	// pollWait is how long a poll waits at a worker for an end if only lasting tasks run
 	// there.
 	pollWait = time.Second
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -19,7 +19,6 @@
 		return
 	}
 	w.nextPoll = w.pollSent.Add(minPollInterval)
-	s.answered = append(s.answered, w)
 	s.countAnswer(w, e.Sent, now)
 	w.observeClock(e.Report.Clock, poll, now)
 	if w.unresponsive || !w.fenced {
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -259,10 +259,6 @@
 
 	// losses estimates whether polls are being lost, and how long workers take to answer.
 	losses losses
-	// lastPollScan is when all workers were last scanned for polls that are due, answered holds the
-	// workers that have answered since the last tick.
-	lastPollScan time.Time
-	answered     []*worker
 	// pollCount counts all polls, reports the answers that tell what a worker runs.
 	pollCount, reports int
 	// pendingStarts holds the start orders that were sent, oldest first.
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -293,18 +293,11 @@
 	w.clock, w.clockReadAt = clock, now
 }
 
-// pollWorkers sends the polls that are due. Between scans of all workers only those that have
-// answered are looked at, as most polls are due then.
+// pollWorkers sends the polls that are due.
 func (s *State) pollWorkers(now time.Time) {
 	lossy, overdue := s.losses.lossy(now), s.losses.overdueAfter()
-	workers := s.sortedWorkers
-	if now.Sub(s.lastPollScan) < pollScanInterval {
-		workers = s.answered
-	} else {
-		s.lastPollScan = now
-	}
 	var unlisted []*worker
-	for _, w := range workers {
+	for _, w := range s.sortedWorkers {
 		if !w.mayPoll(lossy, overdue, now) || w.at.Address == "" || now.Before(w.nextPoll) {
 			continue
 		}
@@ -321,7 +314,6 @@
 		}
 		s.poll(w, now)
 	}
-	s.answered = s.answered[:0]
 	for _, w := range unlisted {
 		s.removeWorker(w)
 	}
@@ -338,7 +330,6 @@
 		s.sortedWorkers = slices.Delete(s.sortedWorkers, at, at+1)
 	}
 	delete(s.endsInCommit, w.at.Worker)
-	s.answered = slices.DeleteFunc(s.answered, func(o *worker) bool { return o == w })
 }
 
 // pollNoWait polls a worker without waiting for ends.
