--- a/mfusage/collector.go
+++ b/mfusage/collector.go
@@ -32,12 +32,17 @@
 	Clock  mothferry.Clock
 }
 
-// Run sets the percentage at regular intervals until ctx ends, and then the default.
+// Run sets the percentage at regular intervals until ctx ends, and then the default. It leaves
+// another percentage alone, which the operator has set.
 func (c *Collector) Run(ctx context.Context) {
 	if c.Memory <= 0 {
 		return
 	}
-	defer debug.SetGCPercent(defaultPercent)
+	original := debug.SetGCPercent(defaultPercent)
+	defer func() { debug.SetGCPercent(original) }()
+	if original != defaultPercent {
+		return
+	}
 	percent := defaultPercent
 	for {
 		if next := collectorPercent(c.Memory, liveHeap()); next != percent {
