--- a/mfowner/activity.go
+++ b/mfowner/activity.go
@@ -82,7 +82,7 @@
 func (s *session) logActivity(now time.Time) {
 	a := &s.activity
 	if a.since.IsZero() {
-		a.since = now
+		a.since, a.cpuBefore = now, readProcessorTimes()
 	}
 	a.rounds++
 	if now.Sub(a.since) < activityInterval {
--- a/mfsched/order.go
+++ b/mfsched/order.go
@@ -28,8 +28,8 @@
 
 // candidate is an occurrence of a job with tasks that could start now.
 type candidate struct {
-	service mothferry.ServiceID
 	job     *job
+	service mothferry.ServiceID
 	// priority is that of the job's queue, advised reports whether the adviser decides which
 	// workers may run its steps.
 	priority int
@@ -38,8 +38,6 @@
 	// slack is how much longer the job can wait without leaving its class; negative if it is
 	// too late.
 	slack time.Duration
-	// remainingWork is the work that is not done, in core-seconds.
-	remainingWork float64
 	// urgency orders the candidates that can be on time.
 	urgency float64
 	steps   []*step
@@ -76,7 +74,7 @@
 // order of placement.
 func (s *State) candidates(now time.Time) map[mothferry.ServiceID][]*candidate {
 	r := &s.candidateBuffer
-	r.candidates, r.steps = r.candidates[:0], r.steps[:0]
+	r.reset()
 	for _, j := range s.live {
 		if len(j.occurrences) == 0 {
 			continue
@@ -91,12 +89,10 @@
 			if len(r.steps) == first {
 				continue
 			}
-			c := candidate{job: j, priority: q.Priority, advised: q.Advised, steps: r.steps[first:len(r.steps):len(r.steps)]}
+			c := candidate{job: j, service: q.Service, priority: q.Priority, advised: q.Advised, steps: r.steps[first:len(r.steps):len(r.steps)]}
 			markReady(c.steps, now)
 			c.class, c.slack = s.classify(j, o, q, now)
-			c.remainingWork = remainingWork(o)
-			c.urgency = urgency(c.slack, c.remainingWork)
-			c.service = q.Service
+			c.urgency = urgency(c.slack, remainingWork(o))
 			r.candidates = append(r.candidates, c)
 		}
 	}
@@ -117,6 +113,13 @@
 	steps      []*step
 }
 
+// reset empties the buffer, without references to jobs that have ended.
+func (r *candidateBuffer) reset() {
+	clear(r.candidates)
+	clear(r.steps)
+	r.candidates, r.steps = r.candidates[:0], r.steps[:0]
+}
+
 // compareCandidates orders candidates by class; those on time by urgency, the others by the
 // queue's priority and then by slack.
 func compareCandidates(a, b *candidate) int {
