--- a/mfsched/backlog_test.go
+++ b/mfsched/backlog_test.go
@@ -27,6 +27,25 @@
 	assert.Assert(t, effort.Workers <= placements*(workers+waiting), "workers compared in %d rounds: %d", placements, effort.Workers)
 }
 
+// Guards against waiting tasks whose sizes don't cover each other, more cores beside less memory,
+// being compared with all workers of a full pool each.
+func TestWaitingTasksOfOpposedSizesDoNotMultiplyByWorkers(t *testing.T) {
+	const workers, waiting = 200, 300
+	s := newBacklog(t, workers, 0)
+	for i := range waiting {
+		job := submission(s.now, 1)
+		job.Steps[0].Need = mothferry.Resources{Cores: mothferry.Millicores(1000 + i), Memory: mothferry.Bytes(waiting-i) * mothferry.Mebibyte}
+		s.step(mfsched.JobFound{Job: jobID(fmt.Sprintf("waits-%04d", i)), Submission: job})
+	}
+	s.advance(100 * time.Millisecond)
+	s.state.TakeEffort()
+	s.advance(300 * time.Millisecond)
+	effort := s.state.TakeEffort()
+	placements := effort.Candidates / waiting
+	assert.Assert(t, placements > 0)
+	assert.Assert(t, effort.Workers <= placements*(workers+waiting), "workers compared in %d rounds: %d", placements, effort.Workers)
+}
+
 // Guards against rounds that allocate memory for each waiting job, which garbage collection then
 // has to find while the owner is at its limit.
 func TestRoundsDoNotAllocateForWaitingJobs(t *testing.T) {
--- a/mfsched/gang_trace_test.go
+++ b/mfsched/gang_trace_test.go
@@ -71,10 +71,13 @@
 			x.checkpoint = mothferry.Checkpoint(rapid.SampledFrom([]string{"", "c"}).Draw(t, "checkpoint"))
 		}
 		s.commands = nil
-		capacity := s.placementCapacityOf("s", now)
 		before := copies(s)
-		s.placeGang(&candidate{job: j}, p, capacity, now)
-		s.TakeEffort() // a count for the log
+		s.placeGang(&candidate{job: j}, p, s.placementCapacityOf("s", now), now)
+		// Only the count for the log and the workers' places in a round may change.
+		s.TakeEffort()
+		for _, w := range s.workers {
+			w.slot = 0
+		}
 		assert.Assert(t, reflect.DeepEqual(copies(s), before))
 	})
 }
