--- a/review/4/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/bin/sh
-# Plays the case "gang" of review/standin-2. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." || exit 2
-[ -x target/mothferry ] && [ -x target/standin-2 ] || exit 2
-exec target/standin-2 gang target/mothferry review/4/record.txt
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case "crash" of review/standin-2. TROUBLE=0 leaves the disruption out.
+# Plays the case "cancel" of review/standin-2. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mothferry ] && [ -x target/standin-2 ] || exit 2
-exec target/standin-2 crash target/mothferry review/6/record.txt
+exec target/standin-2 cancel target/mothferry review/6/record.txt
