--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -132,36 +132,75 @@
 	return func() { close(done) }
 }
 
-// playCrash crashes runners in turn under a job whose tasks never fail. LOST: it must not be shown as failed.
-func playCrash(d *deployment, trouble bool) (bool, error) {
-	j := &job{ID: "36f85c0e7a21d94b", Spec: "plain", Steps: []step{{Count: 120, CPU: 500, MemMB: 128, EstMs: 8000}}}
-	if !d.submit(d.daemons[0], j) {
-		return false, errors.New("the job was not accepted")
-	}
-	if !await(5*time.Second, func() bool { return d.fleet.runningOf(j.ID) == j.Steps[0].Count }) {
-		return false, errors.New("the tasks did not begin")
-	}
-	state := ""
-	for i := range 40 {
-		time.Sleep(time.Second)
-		if trouble {
-			d.fleet.machines[i%len(d.fleet.machines)].crash(900 * time.Millisecond)
+const (
+	// adviceTraffic is how long clients hand jobs in, adviceInterval the time between two of them.
+	adviceTraffic  = 25 * time.Second
+	adviceInterval = 250 * time.Millisecond
+	burstFrom      = 8 * time.Second
+	burstFor       = 4 * time.Second
+	// burstTenths is the traffic of the burst in tenths of the usual.
+	burstTenths = 26
+)
+
+// playAdvice sends a burst to a queue with advice. LOST: its jobs have to run once the burst is over.
+func playAdvice(d *deployment, trouble bool) (bool, error) {
+	var accepted []*job
+	began := time.Now()
+	for number := 1; time.Since(began) < adviceTraffic; number++ {
+		j := &job{ID: fmt.Sprintf("%016x", number), Spec: "advised", Steps: []step{{Count: 4, CPU: 500, MemMB: 64, EstMs: 500}}}
+		if d.submit(d.daemons[number%len(d.daemons)], j) {
+			accepted = append(accepted, j)
+		}
+		interval, passed := adviceInterval, time.Since(began)
+		if trouble && passed >= burstFrom && passed < burstFrom+burstFor {
+			interval = adviceInterval * 10 / burstTenths
+		}
+		time.Sleep(interval)
+		if number%10 == 0 {
+			d.reportAdvisers()
 		}
-		if _, state = d.call(d.daemons[1], http.MethodGet, j.ID, nil); state == "failed" || state == "completed" {
-			break
+	}
+	d.record.printf("the traffic ends, %d jobs are accepted", len(accepted))
+	time.Sleep(finishTime)
+	d.reportAdvisers()
+	var open []*job
+	for _, j := range accepted {
+		if status, state := d.call(d.daemons[0], http.MethodGet, j.ID, nil); status != http.StatusOK || state != "completed" {
+			open = append(open, j)
+		}
+	}
+	before := d.startsOf(open)
+	time.Sleep(10 * time.Second)
+	d.reportAdvisers()
+	after := d.startsOf(open)
+	lost := 0
+	for i, j := range open {
+		if d.fleet.runningOf(j.ID) == 0 && after[i].Equal(before[i]) {
+			lost++
 		}
 	}
-	await(40*time.Second, func() bool {
-		_, state = d.call(d.daemons[1], http.MethodGet, j.ID, nil)
-		time.Sleep(time.Second)
-		return state == "failed" || state == "completed"
-	})
+	total, used := d.fleet.capacity()
+	d.record.printf("%d of %d accepted jobs are not completed; %d of these started nothing for 10 s more, while %d of %d thousandths of a core were in use", len(open), len(accepted), lost, used, total)
+	if lost > 0 && 2*used < total {
+		d.record.printf("LOST: %d jobs have nothing running, and there is capacity for them twice over", lost)
+		return false, nil
+	}
+	return len(open) == 0, nil
+}
+
+// startsOf returns when runners last began a task of each job.
+func (d *deployment) startsOf(jobs []*job) []time.Time {
 	d.fleet.mutex.Lock()
 	defer d.fleet.mutex.Unlock()
-	d.record.printf("%d starts, %d crashes of runners, ends by kind %v", d.fleet.starts, d.fleet.crashes, d.fleet.ends)
-	if state == "failed" && d.fleet.ends["failed"] == 0 {
-		d.record.printf("LOST: job %s is shown as failed, and no run of it has ended failed", j.ID)
-		return false, nil
+	var out []time.Time
+	for _, j := range jobs {
+		out = append(out, d.fleet.lastStart[j.ID])
+	}
+	return out
+}
+
+func (d *deployment) reportAdvisers() {
+	for _, a := range d.advisers {
+		a.report()
 	}
-	return state == "completed", nil
 }
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -26,6 +26,7 @@
 	readyPort  = 8622
 	storePort  = 8621
 	cloudPort  = 8620
+	advicePort = 8630
 	runnerPort = 7200
 	deadlineMs = 3000
 )
@@ -61,6 +62,9 @@
 	subnet  string
 	dir     string
 	client  *http.Client
+	// advice is whether the queue has advice.
+	advice   bool
+	advisers []*adviser
 }
 
 type daemon struct {
@@ -84,7 +88,7 @@
 }
 
 // newDeployment starts the stand-ins and the daemons, and returns once all daemons are ready.
-func newDeployment(r *record, program string, machines int) (*deployment, error) {
+func newDeployment(r *record, program string, machines int, advice bool) (*deployment, error) {
 	subnet, err := freeSubnet()
 	if err != nil {
 		return nil, err
@@ -94,7 +98,10 @@
 		return nil, err
 	}
 	s := &store{record: r}
-	d := &deployment{record: r, store: s, fleet: newFleet(s, r), subnet: subnet, dir: dir, client: &http.Client{Timeout: deadlineMs * time.Millisecond}}
+	d := &deployment{record: r, store: s, fleet: newFleet(s, r), subnet: subnet, dir: dir, client: &http.Client{Timeout: deadlineMs * time.Millisecond}, advice: advice}
+	if advice {
+		d.fleet.tickets = map[string]ticket{}
+	}
 	d.configure()
 	for _, server := range []struct {
 		port    int
@@ -106,6 +113,15 @@
 		}
 		go func() { _ = (&http.Server{Handler: server.handler}).Serve(listener) }()
 	}
+	for i := range zones {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s.2:%d", subnet, advicePort+i))
+		if err != nil {
+			return d, err
+		}
+		a := &adviser{fleet: d.fleet, name: zones[i]}
+		d.advisers = append(d.advisers, a)
+		go func() { _ = (&http.Server{Handler: a}).Serve(listener) }()
+	}
 	for i := range machines {
 		if err := d.fleet.addMachine(service, fmt.Sprintf("%s.%d", subnet, 100+i), runnerPort, 4); err != nil {
 			return d, err
@@ -121,9 +137,13 @@
 
 // configure writes the operator's config: one queue and its service.
 func (d *deployment) configure() {
+	route := map[string]any{"name": "quote", "host": hostName, "path_prefix": prefix, "service": service, "timeout_ms": deadlineMs, "target_latency_ms": 2000, "priority": 0, "max_attempts": 3, "stretch": 1.6}
+	if d.advice {
+		route["advice"] = map[string]any{"decide_ms": decideTime.Milliseconds(), "each_ms": eachTime.Milliseconds(), "valid_ms": ticketTime.Milliseconds()}
+	}
 	d.store.put("op", "config", map[string]any{
 		"version":  7,
-		"routes":   []map[string]any{{"name": "quote", "host": hostName, "path_prefix": prefix, "service": service, "timeout_ms": deadlineMs, "target_latency_ms": 2000, "priority": 0, "max_attempts": 3, "stretch": 1.6}},
+		"routes":   []map[string]any{route},
 		"services": []map[string]any{{"name": service, "enforces_capacity": true}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
 	})
@@ -152,10 +172,10 @@
 fault_tolerance: {machines: 2, zones: 1, regions: 0}
 bounds: {contact_ms: 3000, ack_ms: 4000, drain_ms: 2000, grace_s: 6, config_apply_ms: 2000, hold_max_ms: 6000, stop_ms: 900, gang_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, notice_ms: 4500, move_s: 1.5, upkeep_s: 2, require_fence: false, lease_ms: 3000}
 control_mode: "rpc"
-advice: "%s.2:8619"
+advice: "%s.2:%d"
 platform: {addr: "%s.2:%d", form: "table", writes_per_s: 800, reads_per_s: 2000, tx_ms: 4.0, write_rate_s: 250, row_bytes: 65536, across: true, history_s: 20}
 cloud: {addr: "%s.2:%d", rate_per_s: 64.0, duties: [], duty_rate_s: 64.0}
-`, zones[i], ip, zones[i], ip, frontPort, ip, readyPort, d.subnet, d.subnet, storePort, d.subnet, cloudPort)
+`, zones[i], ip, zones[i], ip, frontPort, ip, readyPort, d.subnet, advicePort+i, d.subnet, storePort, d.subnet, cloudPort)
 }
 
 // startDaemon starts one daemon with the command of the deploy file.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,13 +23,14 @@
 // play is one case. It returns whether the rule held; an error means that the case couldn't run.
 type play struct {
 	machines int
+	advice   bool
 	run      func(d *deployment, trouble bool) (held bool, err error)
 }
 
 var plays = map[string]play{
 	"gang":   {machines: 44, run: playGang},
 	"cancel": {machines: 8, run: playCancel},
-	"crash":  {machines: 12, run: playCrash},
+	"advice": {machines: 12, advice: true, run: playAdvice},
 }
 
 func main() { os.Exit(runCase()) }
@@ -51,7 +52,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.printf("case %s, disruption %v", os.Args[1], trouble)
-	d, err := newDeployment(r, os.Args[2], p.machines)
+	d, err := newDeployment(r, os.Args[2], p.machines, p.advice)
 	if d != nil {
 		defer d.close()
 	}
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -37,6 +37,8 @@
 	ends            map[string]int
 	// lastStart is when a runner last began a task of each job.
 	lastStart map[string]time.Time
+	// tickets holds the runner and the end of each ticket; nil where the queue has no advice.
+	tickets map[string]ticket
 }
 
 // job is a job as the client sends it.
@@ -182,6 +184,7 @@
 	Task     string `json:"task"`
 	Run      int64  `json:"run"`
 	Spec     string `json:"spec"`
+	Ticket   string `json:"ticket"`
 	UntilMs  int64  `json:"until_ms"`
 	Fence    uint64 `json:"fence"`
 	LastSeen int64  `json:"last_seen"`
@@ -275,6 +278,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !f.ticketHolds(o, m) {
+		m.refuse(w, "ticket")
+		return
+	}
 	spec := f.jobs[id].Steps[number]
 	cpu, mem := spec.CPU, spec.MemMB
 	for _, r := range m.running {
@@ -324,8 +331,11 @@
 	})
 }
 
+// stepName returns the name of a task's step, ID.K.STEP.
+func stepName(task string) string { return task[:max(0, strings.LastIndex(task, "."))] }
+
 func gangKey(r *run) string {
-	return r.task[:strings.LastIndex(r.task, ".")] + fmt.Sprintf(" run %d", r.number)
+	return stepName(r.task) + fmt.Sprintf(" run %d", r.number)
 }
 
 // joinGang adds a member; once all are present the gang works. A member waits gangWait for the others.
