--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -53,6 +53,13 @@
 	fmt.Print(line)
 }
 
+// note records what runners run, without a line on the standard output.
+func (r *record) note(format string, values ...any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%7.3f s  "+format+"\n", append([]any{time.Since(r.began).Seconds()}, values...)...)
+}
+
 // deployment is the daemons, as processes of their own, and the stand-ins of all that they call.
 type deployment struct {
 	record  *record
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -294,6 +294,7 @@
 	r := &run{task: o.Task, number: o.Run, step: spec, machine: m, began: time.Now()}
 	m.running[o.Task], m.highest[o.Task] = r, o.Run
 	f.starts++
+	f.record.note("runner %s on %s begins %s run %d", m.id, m.name, o.Task, o.Run)
 	f.lastStart[id] = r.began
 	if spec.Gang {
 		f.joinGang(r)
@@ -406,6 +407,7 @@
 	delete(m.running, r.task)
 	m.lastEnd++
 	m.fleet.ends[how]++
+	m.fleet.record.note("runner %s on %s: %s run %d ends %s", m.id, m.name, r.task, r.number, how)
 	m.ends = append(m.ends, []any{m.lastEnd, r.task, r.number, how, ""})
 	m.wakeUp()
 	if how != "done" && how != "broken" {
