mfsched: bound the calls to the adviser, and use late answers

Cause: the adviser handles the calls of a host one at a time, also those whose caller has gone. The owner made a call for each waiting step, without a bound, and gave it up after 1.5 s, its turn included. Once 1.5 s of calls waited, no answer came in time, and each step called again at the end of the line.

Evidence: during and after the burst the adviser went on answering 16 calls each 2.5 s, all of them after the caller had gone, and up to 32 waited. The other hypothesis, tickets that expire before the start, is refuted: no answer arrived at all.

Fix: the scheduler keeps the steps that wait and makes at most 0.2 s of calls at a time, or one. The wait for a turn is thus not part of a call's time. A call is overdue 1.5 s after its turn should have ended; the step may ask again, but the late answer still counts, and at most 16 calls have no answer. A step's calls follow each other until each worker was asked for once. Declined calls keep their place. Hosts refuse jobs whose wait for advice makes them useless.

--- a/mfcommand/shard.go
+++ b/mfcommand/shard.go
@@ -65,6 +65,7 @@
 	PendingKnown bool                          `json:"counted"`
 	Pending      map[mothferry.QueueID]int     `json:"pending"`
 	WaitMs       map[mothferry.ServiceID]int64 `json:"wait_ms"`
+	AdviceWaitMs int64                         `json:"advice_wait_ms"`
 	// RequestedMs is how long before the row was written each machine was requested.
 	RequestedMs map[mothferry.MachineID]int64 `json:"machines_asked_ms"`
 	Waves       []shardWave                   `json:"waves"`
@@ -79,7 +80,7 @@
 func printShard(e *Environment, output string, s mfowner.Status) error {
 	f := shardResult{
 		Owner: s.Head.Holder, Epoch: s.Head.Epoch, Version: s.Version, Cores: s.Head.Cores, PendingKnown: s.Head.PendingKnown, Pending: s.Head.Pending,
-		WaitMs: map[mothferry.ServiceID]int64{}, RequestedMs: map[mothferry.MachineID]int64{}, Waves: []shardWave{},
+		AdviceWaitMs: s.Head.AdviceWait.Milliseconds(), WaitMs: map[mothferry.ServiceID]int64{}, RequestedMs: map[mothferry.MachineID]int64{}, Waves: []shardWave{},
 	}
 	for service, wait := range s.Head.EstimatedWaits {
 		f.WaitMs[service] = wait.Milliseconds()
@@ -110,7 +111,7 @@
 	if f.PendingKnown {
 		pending = formatMap(f.Pending)
 	}
-	fmt.Fprintf(w, "jobs not begun\t%s\nwait, ms\t%s\nmachines asked for, ms before\t%s\n", pending, formatMap(f.WaitMs), formatMap(f.RequestedMs))
+	fmt.Fprintf(w, "jobs not begun\t%s\nwait, ms\t%s\nwait for advice, ms\t%d\nmachines asked for, ms before\t%s\n", pending, formatMap(f.WaitMs), f.AdviceWaitMs, formatMap(f.RequestedMs))
 	for _, wave := range f.Waves {
 		fmt.Fprintf(w, "wave %d\tbegun %s, %d machines done\n", wave.Wave, wave.StartedAt.UTC().Format(time.RFC3339), len(wave.Done))
 	}
--- a/mfemulate/host.go
+++ b/mfemulate/host.go
@@ -97,6 +97,7 @@
 	head := mfrecord.Head{Holder: "emulated", Epoch: o.epoch}
 	if pending, known := o.state.Pending(); known && len(w.hosts) > 0 {
 		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, o.state.Waits(0, w.now)
+		head.AdviceWait = o.state.AdviceWait(w.now)
 		if w.now.Sub(o.allocatedAt) >= allocationInterval {
 			o.allocatedAt, o.allocation = w.now, o.state.Allocations(w.now)
 		}
--- a/mffleet/daemon.go
+++ b/mffleet/daemon.go
@@ -203,6 +203,7 @@
 	d.Registry.MustRegister(d.refusedEntries, d.requestSeconds, d.callSeconds, decisions, commits, owning, cores, pools.machines, pools.binding, shares)
 	stragglers := newStragglerMetrics(d.Registry)
 	loop := newLoopMetrics(d.Registry)
+	gauges := newOwnerGauges(d.Registry)
 	d.store = &monitoredStore{RowStore: d.Adapter.Store, clock: d.Clock, health: &mfforward.Health{}}
 	d.buildRelay()
 	d.owner = &mfowner.Owner{
@@ -217,6 +218,7 @@
 		OnCommit:             func(took time.Duration) { commits.Observe(took.Seconds()) },
 		OnJobEnd:             shares.countJobEnd,
 		OnPoolSizes:          pools.set,
+		OnGauge:              gauges.set,
 		OnLoopTime:           loop.addTimes,
 		OnTaskStage:          loop.addTaskStage,
 		MachineHandoverDelay: d.Settings.MachineHandoverDelay, Log: d.Log("owner"),
--- a/mfintake/admission.go
+++ b/mfintake/admission.go
@@ -124,13 +124,26 @@
 	fields                        log.Fields
 }
 
-// reasonQueue is the reason if the wait of the whole queue is too long for a job.
-const reasonQueue mfshare.Reason = "queue"
+// Reasons that concern all jobs of a queue.
+const (
+	// reasonQueue: the wait for workers is too long for the job.
+	reasonQueue mfshare.Reason = "queue"
+	// reasonAdvice: the wait for the adviser is too long for the job.
+	reasonAdvice mfshare.Reason = "advice"
+)
 
 // refusalFor decides on a job by the work queued before it.
 func (i *Intake) refusalFor(head *mfrecord.Head, queue mfqueue.Queue, job mfjob.Submission, now time.Time) refusal {
 	criticalPath := job.CriticalPath()
 	objective := mfjob.Objective(queue.Stretch, queue.Latency, criticalPath)
+	if age := now.Sub(head.FirstReadAt); queue.Advised && age <= maxHeadAge {
+		if v := Evaluate(head.AdviceWait, criticalPath, objective); v.TooLate {
+			return refusal{
+				outcome: RefusedQueue, reason: reasonAdvice, wait: head.AdviceWait, objective: objective, criticalPath: criticalPath,
+				retryAfter: i.jitter(v.RetryAfter), fields: log.Fields{"wait_age_ms": age.Milliseconds()},
+			}
+		}
+	}
 	if head.Shares != nil && !i.Off[mothferry.FeatureShares] {
 		return i.refusalByShare(head, queue, job, now)
 	}
@@ -181,7 +194,7 @@
 	// can't be on time.
 	RefusedShare SubmitResult = "refused_share"
 	RefusedLimit SubmitResult = "refused_limit"
-	// RefusedQueue: the wait of the whole queue is too long.
+	// RefusedQueue: the wait of the whole queue, for workers or for the adviser, is too long.
 	RefusedQueue SubmitResult = "refused_queue"
 	// RefusedStore: the store rejected the write.
 	RefusedStore SubmitResult = "refused_store"
--- a/mfintake/admission_test.go
+++ b/mfintake/admission_test.go
@@ -73,6 +73,28 @@
 	assert.Equal(t, i.Cancel(context.Background(), id, ""), mfintake.OutcomeDone)
 }
 
+// Guards against a caller that waits in vain: what can't have advice in time is refused at once, only
+// in queues with an adviser, and not by a head that its owner no longer renews.
+func TestJobThatCannotHaveAdviceInTimeIsRefused(t *testing.T) {
+	i := newIntake(&mfstandin.Rows{})
+	head := mfrecord.Head{AdviceWait: 10 * time.Second, ReadAt: time.Now(), FirstReadAt: time.Now()}
+	i.LastHead = func() *mfrecord.Head { return &head }
+	advised := mfqueue.Queue{ID: "q", Service: "s", Stretch: 1.6, Latency: time.Second, Advised: true}
+	retryAfter, refused := i.Refuse(context.Background(), id, advised, submission())
+	assert.Assert(t, refused)
+	assert.Assert(t, retryAfter > 7*time.Second, "%v", retryAfter)
+	other := advised
+	other.Advised = false
+	_, refused = i.Refuse(context.Background(), id, other, submission())
+	assert.Assert(t, !refused)
+	head.AdviceWait = 2 * time.Second
+	_, refused = i.Refuse(context.Background(), id, advised, submission())
+	assert.Assert(t, !refused, "it may still be of use")
+	head.AdviceWait, head.FirstReadAt = 10*time.Second, time.Now().Add(-2*time.Second)
+	_, refused = i.Refuse(context.Background(), id, advised, submission())
+	assert.Assert(t, !refused, "a new owner has an adviser of its own")
+}
+
 // TestTooLargeJobIsRefused checks that a job with a task that fits no machine is refused at
 // once instead of waiting until it is cancelled, that a job accepted before is not refused,
 // and that no job is refused before the machines are known.
--- a/mfowner/activity.go
+++ b/mfowner/activity.go
@@ -98,6 +98,9 @@
 	}
 	s.startCapacity.update(spent[PartIdle], now.Sub(a.since), a.started())
 	g := s.state.Gauge(now)
+	if s.owner.OnGauge != nil {
+		s.owner.OnGauge(g)
+	}
 	if g.Live > 0 {
 		fields := log.Fields{
 			"epoch": s.state.Epoch, "ms": now.Sub(a.since).Milliseconds(), "commits": a.commits, "rows": a.rows,
@@ -109,6 +112,9 @@
 		for part, took := range spent {
 			fields["loop_"+string(part)+"_ms"] = took.Milliseconds()
 		}
+		if a := g.Advice; a.Waiting+a.Unanswered > 0 {
+			fields["advice"] = fmt.Sprintf("waiting %d unanswered %d wait %d ms", a.Waiting, a.Unanswered, a.Wait.Milliseconds())
+		}
 		s.addLoopFields(fields, cpu)
 		for service, p := range g.Pools {
 			fields[string(service)] = fmt.Sprintf("workers %d usable %d cores %.2f memory %.2f waiting %d running %d", p.Listed, p.Usable, p.Cores, p.Memory, p.Waiting, p.Running)
--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -22,6 +22,7 @@
 	head.CalledBy = maps.Clone(s.machines.calledBy)
 	if pending, known := s.state.Pending(); known {
 		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, s.waits(now)
+		head.AdviceWait = s.state.AdviceWait(now)
 		head.Shares = s.shares(now)
 	}
 	head = s.fitHead(head)
--- a/mfowner/order.go
+++ b/mfowner/order.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 
+	"github.com/apex/log"
+
 	"mothferry"
 	"mothferry/mfrecord"
 	"mothferry/mfsched"
@@ -61,10 +63,16 @@
 }
 
 func (s *session) requestAdvice(c mfsched.RequestAdvice) {
-	answer := mfsched.AdviceAnswered{Step: c.Step, Asked: c.Workers}
+	answer := mfsched.AdviceAnswered{Number: c.Number, Asked: c.Workers}
+	sent := s.owner.Clock.Now()
 	tickets, valid, err := s.owner.Adviser.Advise(s.ctx, c.Step.Job, c.Step.Occurrence, c.Step.Step, c.Workers)
-	entry := s.owner.Log.WithField("job", c.Step.Job).WithField("step", c.Step.Step).WithField("asked", len(c.Workers))
+	entry := s.owner.Log.WithFields(log.Fields{
+		"job": c.Step.Job, "occurrence": c.Step.Occurrence, "step": c.Step.Step, "call": c.Number, "asked": len(c.Workers),
+		"waited_ms": c.Waited.Milliseconds(), "took_ms": s.owner.Clock.Now().Sub(sent).Milliseconds(),
+	})
 	if err != nil {
+		var declined *mothferry.ErrDeclined
+		answer.Declined = errors.As(err, &declined)
 		entry.WithError(err).Warn("adviser did not answer")
 	} else {
 		answer.Tickets, answer.Valid = tickets, valid
--- a/mfowner/owner.go
+++ b/mfowner/owner.go
@@ -71,6 +71,10 @@
 	// is released or lost; it may be nil.
 	OnSlowWorkers func(workers []mfsched.SlowWorker)
 
+	// OnGauge is called each second with the shard's load, and with an empty one when the shard is
+	// released or lost; it may be nil.
+	OnGauge func(g mfsched.Gauge)
+
 	// OnLoopTime is called each second with where the loop's time went and the longest wait of an
 	// event for the loop, OnTaskStage with the duration of each stage of a task; both may be nil.
 	OnLoopTime  func(spent map[LoopPart]time.Duration, queueWait time.Duration)
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -120,6 +120,9 @@
 	if o.OnSlowWorkers != nil {
 		defer o.OnSlowWorkers(nil)
 	}
+	if o.OnGauge != nil {
+		defer o.OnGauge(mfsched.Gauge{})
+	}
 	if o.WhileOwning != nil {
 		var running sync.WaitGroup
 		running.Go(func() { o.WhileOwning(inner) })
@@ -256,7 +259,7 @@
 		e.Services[q.Service] = true
 		e.Queues[q.ID] = mfsched.Queue{
 			Service: q.Service, Host: q.Host, Prefix: q.Prefix, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
-			Stretch: q.Stretch, Latency: q.Latency, Advised: q.Advised,
+			Stretch: q.Stretch, Latency: q.Latency, Advised: q.Advised, Advice: mfsched.AdviceTimes(q.Advice),
 		}
 	}
 	for id, a := range c.Accounts.Accounts() {
--- a/mfqueue/queue.go
+++ b/mfqueue/queue.go
@@ -27,12 +27,20 @@
 	Latency time.Duration
 	// Timeout is how long a request to the queue may take.
 	Timeout time.Duration
-	// Advised reports whether an adviser decides which workers may run a step.
+	// Advised reports whether an adviser decides which workers may run a step, Advice how long it
+	// takes; zero if that is not known.
 	Advised bool
+	Advice  AdviceTimes
 	// Open reports whether calls to the queue need no key.
 	Open bool
 }
 
+// AdviceTimes are the service times of a queue's adviser.
+type AdviceTimes struct {
+	// Decide is the time per call, Each the time per worker named.
+	Decide, Each time.Duration
+}
+
 // Terms returns the terms on which the queue accepts jobs now.
 func (q Queue) Terms() *mfjob.QueueTerms {
 	return &mfjob.QueueTerms{
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -124,6 +124,8 @@
 	Pending map[mothferry.QueueID]int
 	// EstimatedWaits is how long new work would wait in each service.
 	EstimatedWaits map[mothferry.ServiceID]time.Duration
+	// AdviceWait is how long a step that is ready now would wait for the adviser.
+	AdviceWait time.Duration
 	// Shares is the published part of the allocation of capacity to client accounts: the
 	// longest waits. It is nil if capacity is not divided among accounts.
 	Shares mfshare.Allocation
@@ -152,6 +154,8 @@
 	Counted bool                          `json:"counted,omitempty"`
 	Pending map[mothferry.QueueID]int     `json:"pending,omitempty"`
 	WaitMs  map[mothferry.ServiceID]int64 `json:"wait_ms,omitempty"`
+	// AdviceWaitMs is missing if steps do not wait.
+	AdviceWaitMs int64 `json:"advice_wait_ms,omitempty"`
 	// Shares is missing if capacity is not divided among accounts, and empty if nothing waits.
 	Shares  *storedShares        `json:"shares,omitempty"`
 	Largest *mothferry.Resources `json:"largest,omitempty"`
@@ -185,6 +189,7 @@
 		Format: headFormat, Holder: h.Holder, Epoch: h.Epoch, Cores: h.Cores,
 		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Counted: h.PendingKnown, Pending: h.Pending, CalledBy: h.CalledBy,
 		CalledMs: map[mothferry.MachineID]int64{}, WaitMs: map[mothferry.ServiceID]int64{},
+		AdviceWaitMs: h.AdviceWait.Milliseconds(),
 	}
 	for service, wait := range h.EstimatedWaits {
 		stored.WaitMs[service] = wait.Milliseconds()
@@ -215,6 +220,7 @@
 		Holder: s.Holder, Epoch: s.Epoch, Cores: s.Cores, LeaseTail: time.Duration(s.TailMs) * time.Millisecond,
 		Token: s.Token, PendingKnown: s.Counted, Pending: s.Pending, CalledBy: s.CalledBy,
 		CallAges: map[mothferry.MachineID]time.Duration{}, EstimatedWaits: map[mothferry.ServiceID]time.Duration{},
+		AdviceWait: time.Duration(s.AdviceWaitMs) * time.Millisecond,
 	}
 	for service, ms := range s.WaitMs {
 		h.EstimatedWaits[service] = time.Duration(ms) * time.Millisecond
--- a/mfsched/advice_test.go
+++ b/mfsched/advice_test.go
@@ -49,7 +49,7 @@
 					tickets[w] = "t"
 				}
 			}
-			s.step(mfsched.AdviceAnswered{Step: c.Step, Asked: c.Workers, Tickets: tickets, Valid: s.valid})
+			s.step(mfsched.AdviceAnswered{Number: c.Number, Asked: c.Workers, Tickets: tickets, Valid: s.valid})
 		}
 		for _, c := range takeCommands[mfsched.Start](s.script) {
 			starts = append(starts, c)
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -23,8 +23,10 @@
 	// Latency.
 	Stretch float64
 	Latency time.Duration
-	// Advised reports whether the adviser decides which workers may run a step.
+	// Advised reports whether the adviser decides which workers may run a step, Advice how long it
+	// takes; zero if that is not known.
 	Advised bool
+	Advice  AdviceTimes
 }
 
 // ConfigChanged carries the queues of a newer config.
@@ -150,12 +152,15 @@
 	Rejected []mothferry.JobID
 }
 
-// AdviceAnswered is the adviser's answer for a step; Tickets is nil if it did not answer.
+// AdviceAnswered is the adviser's answer to a call; Tickets is nil if it did not answer.
 type AdviceAnswered struct {
-	Step    StepName
+	// Number is that of the call.
+	Number  int
 	Asked   []mothferry.WorkerID
 	Tickets map[mothferry.WorkerID]string
 	Valid   time.Duration
+	// Declined reports whether the adviser certainly did nothing.
+	Declined bool
 }
 
 // StepName names one step of one occurrence of a job.
@@ -265,8 +270,12 @@
 
 // RequestAdvice asks the adviser which of the workers may run a step.
 type RequestAdvice struct {
+	// Number identifies the call.
+	Number  int
 	Step    StepName
 	Workers []mothferry.WorkerID
+	// Waited is how long the step waited for the call.
+	Waited time.Duration
 }
 
 // DeleteJobs asks to delete the rows of jobs that finished long enough ago. DeleteJobsAnswered
--- a/mfsched/gauge.go
+++ b/mfsched/gauge.go
@@ -10,10 +10,19 @@
 type Gauge struct {
 	// Live counts jobs that have not finished, Dirty the jobs whose changes are in no commit yet.
 	Live, Dirty int
+	Advice      AdviceGauge
 	// Pools holds the gauges of the services' workers.
 	Pools map[mothferry.ServiceID]PoolGauge
 }
 
+// AdviceGauge is the load of the adviser.
+type AdviceGauge struct {
+	// Waiting counts the steps that wait for a call, Unanswered the calls without an answer.
+	Waiting, Unanswered int
+	// Wait is a lower bound on how long a step that is ready now waits for its advice.
+	Wait time.Duration
+}
+
 // PoolGauge is the load of a service's workers.
 type PoolGauge struct {
 	// Listed counts the service's workers, Usable those that may get work now.
@@ -27,7 +36,7 @@
 
 // Gauge returns the shard's current load.
 func (s *State) Gauge(now time.Time) Gauge {
-	g := Gauge{Live: len(s.live), Dirty: len(s.dirty), Pools: map[mothferry.ServiceID]PoolGauge{}}
+	g := Gauge{Live: len(s.live), Dirty: len(s.dirty), Advice: s.advice.gauge(now), Pools: map[mothferry.ServiceID]PoolGauge{}}
 	capacity, used := map[mothferry.ServiceID]mothferry.Resources{}, map[mothferry.ServiceID]mothferry.Resources{}
 	for _, w := range s.sortedWorkers {
 		if !w.listed {
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -25,6 +25,7 @@
 		s.placeMatching(byService, capacities, (*candidate).hasCredit, now)
 	}
 	s.placeMatching(byService, capacities, func(*candidate) bool { return true }, now)
+	s.callAdviser(now)
 }
 
 // placeMatching assigns tasks of matching candidates to workers. Each candidate is tried once
@@ -147,8 +148,8 @@
 }
 
 // chooseWorker returns the feasible worker with the highest score for a task, or nil. In an
-// advised queue only workers for which the step has a ticket are feasible; if none is, it asks
-// the adviser.
+// advised queue only workers for which the step has a ticket are feasible; if none is, the
+// step waits for a call to the adviser.
 func (s *State) chooseWorker(c *candidate, t *task, capacity *placementCapacity, now time.Time) *worker {
 	if t.suspect() {
 		t.extendPostponement(capacity.load(), now)
@@ -160,8 +161,8 @@
 	if !capacity.cannotFit(t.step.spec) {
 		best = s.bestWorker(c, t, capacity, now)
 	}
-	if best == nil && c.advised {
-		s.requestAdvice(t.step, capacity.workers, now)
+	if best == nil && c.advised && !capacity.cannotFit(t.step.spec) {
+		s.requestAdvice(c, t.step, capacity.workers, now)
 	}
 	return best
 }
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -131,11 +131,16 @@
 	waiting int
 	// readyAt is when its dependencies were first seen to be done.
 	readyAt time.Time
-	// adviceRequestedAt is when the adviser was last asked, tickets what it granted.
-	adviceRequestedAt time.Time
-	advicePending     bool
-	refused           map[mothferry.WorkerID]bool
-	tickets           map[mothferry.WorkerID]ticket
+	// adviceRequestedAt is when the adviser was last called, adviceSince since when the step waits
+	// for a call; adviceNotBefore delays the next one.
+	adviceRequestedAt, adviceSince, adviceNotBefore time.Time
+	// advicePending reports whether a call that is not overdue has no answer.
+	advicePending bool
+	// asked holds the workers that were asked for in the present turn at the adviser.
+	asked map[mothferry.WorkerID]bool
+	// refused and tickets are what the adviser refused and granted.
+	refused map[mothferry.WorkerID]bool
+	tickets map[mothferry.WorkerID]ticket
 	// heldSince is when the step began to wait for free capacity on a normal worker; zero if
 	// it never did.
 	heldSince time.Time
@@ -299,6 +304,7 @@
 	// cancelledEarly holds the cancellations of jobs that have not been found yet.
 	cancelledEarly map[mothferry.JobID]bool
 
+	advice          adviceQueue
 	candidateBuffer candidateBuffer
 	effort          Effort
 	commands        []Command
@@ -359,7 +365,7 @@
 	case StopAnswered:
 		s.stopAnswered(v, now)
 	case AdviceAnswered:
-		s.adviceAnswered(v)
+		s.adviceAnswered(v, now)
 	case CommitDone:
 		s.committed(v, now)
 	case Tick:
