mfsched, mfjob: compute the size of a task's progress once, also for gangs

Cause: the room for a run was the size of a waiting task plus that of a planned one. A task that waits after a run counted with most of those bytes already: 66,166 of 65,536. Hand-in, waiting tasks and planned runs each had a computation of their own.

Evidence: the scheduler logs "tasks wait for space in their job's row" and starts nothing, in a test without processes too; a gang of 100 on the same workers begins again within 0.1 s, so that neither workers nor crash counts hold it back.

Fix: TaskProgress.Size is the length of the stored form, MaxSize the largest one until the next run is planned; a run takes the difference of two states. A job with a gang or with tasks that last is accepted only if a run of each of its tasks fits its row, with ids as long as the longest that the owner knows and publishes.

--- a/mfintake/admission.go
+++ b/mfintake/admission.go
@@ -69,11 +69,24 @@
 	jitterRange = 0.6
 )
 
-// TooLarge reports whether a job has tasks that fit no machine of the fleet: it would wait
-// until it is cancelled. A job that was accepted before, or may have been, is never refused.
+// TooLarge reports whether a job has tasks that fit no machine of the fleet, or that do not fit its
+// row when they all run, as they have to: it would wait until it is cancelled. A job that was
+// accepted before, or may have been, is never refused.
 func (i *Intake) TooLarge(ctx context.Context, id mothferry.JobID, job mfjob.Submission) bool {
 	head := i.lastHead()
-	if head == nil || head.MaxCapacity == (mothferry.Resources{}) {
+	if head == nil {
+		return false
+	}
+	if size := job.MaxProgressSize(head.LongestWorkerID); size > i.maxRow() {
+		if accepted, err := i.mayBeAccepted(ctx, id); err != nil || accepted {
+			return false
+		}
+		i.Log.WithFields(log.Fields{
+			"job": id, "tasks": job.TasksPerOccurrence(), "size": size, "limit": i.maxRow(), "longest_worker_id": head.LongestWorkerID, "owner": head.Holder, "epoch": head.Epoch, "outcome": OutcomeNotRun,
+		}).Info("job refused: its progress does not fit a row")
+		return true
+	}
+	if head.MaxCapacity == (mothferry.Resources{}) {
 		return false
 	}
 	for number := range job.Steps {
--- a/mfintake/admission_test.go
+++ b/mfintake/admission_test.go
@@ -73,6 +73,26 @@
 	assert.Equal(t, i.Cancel(context.Background(), id, ""), mfintake.OutcomeDone)
 }
 
+// Guards against an accepted gang that can never run, as its row can't name all of its workers. A job
+// that was accepted before is not refused, nor one whose tasks need not run together.
+func TestGangThatNeverFitsItsRowIsRefused(t *testing.T) {
+	i := newIntake(&mfstandin.Rows{})
+	head := mfrecord.Head{LongestWorkerID: 100, ReadAt: time.Now()}
+	i.LastHead = func() *mfrecord.Head { return &head }
+	gang := submission()
+	gang.Steps[0].Count, gang.Steps[0].Gang = 1000, true
+	assert.NilError(t, i.CheckSize(gang), "it fits with short ids")
+	assert.Assert(t, i.TooLarge(context.Background(), id, gang))
+	plain := gang
+	plain.Steps = []mfjob.Step{{Count: 1000}}
+	assert.Assert(t, !i.TooLarge(context.Background(), id, plain))
+	head.LongestWorkerID = 12
+	assert.Assert(t, !i.TooLarge(context.Background(), id, gang))
+	assert.Equal(t, i.Accept(context.Background(), id, gang), mfintake.OutcomeDone)
+	head.LongestWorkerID = 100
+	assert.Assert(t, !i.TooLarge(context.Background(), id, gang))
+}
+
 // Guards against a caller that waits in vain: what can't have advice in time is refused at once, only
 // in queues with an adviser, and not by a head that its owner no longer renews.
 func TestJobThatCannotHaveAdviceInTimeIsRefused(t *testing.T) {
--- a/mfintake/intake.go
+++ b/mfintake/intake.go
@@ -67,12 +67,9 @@
 // CheckSize returns an ErrInvalid for a job whose submission or progress does not fit a row of the
 // store.
 func (i *Intake) CheckSize(s mfjob.Submission) error {
-	limit := i.MaxRow
-	if limit == 0 {
-		limit = mfjournal.DefaultMaxRow
-	}
-	if s.ProgressSize() > limit {
-		return &mfjob.ErrInvalid{Field: "tasks", Detail: fmt.Sprintf("need %d bytes to store their progress, the store takes %d", s.ProgressSize(), limit)}
+	limit := i.maxRow()
+	if size := s.MaxProgressSize(0); size > limit {
+		return &mfjob.ErrInvalid{Field: "tasks", Detail: fmt.Sprintf("need %d bytes to store their progress, the store takes %d", size, limit)}
 	}
 	value, err := mfjob.EncodeSubmission(s)
 	if err != nil {
@@ -84,6 +81,14 @@
 	return nil
 }
 
+// maxRow returns the largest value that the store takes.
+func (i *Intake) maxRow() mothferry.Bytes {
+	if i.MaxRow == 0 {
+		return mfjournal.DefaultMaxRow
+	}
+	return i.MaxRow
+}
+
 // acceptedBytes is the size of the time of acceptance in a stored submission.
 const acceptedBytes mothferry.Bytes = 64
 
--- a/mfjob/progress.go
+++ b/mfjob/progress.go
@@ -122,6 +122,11 @@
 	Unseen int
 }
 
+// Stored returns the counts as they are stored. All limits are far below the largest ones.
+func (c Crashes) Stored() Crashes {
+	return Crashes{Known: min(c.Known, MaxStoredCrashes), Early: min(c.Early, MaxStoredCrashes), Unseen: min(c.Unseen, MaxStoredCrashes)}
+}
+
 func (t TaskProgress) hasCrashes() bool { return t.Crashes != Crashes{} }
 
 func (t TaskProgress) hasCopy() bool { return t.CopyWorker != "" || t.Current != 0 }
--- a/mfjob/schedule.go
+++ b/mfjob/schedule.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"mothferry"
 )
 
 // MaxOpenOccurrences is how many occurrences of a job may be open, begun and not done, at the same
@@ -20,19 +18,6 @@
 	return tasks
 }
 
-// Sizes of the stored progress of a job whose tasks have all run and wait again, in bytes.
-const (
-	jobSize  = 1 << 10
-	stepSize = 14
-	taskSize = 24
-)
-
-// ProgressSize returns the size of the job's stored progress with one open occurrence, without
-// checkpoints and the ids of workers.
-func (s Submission) ProgressSize() mothferry.Bytes {
-	return mothferry.Bytes(jobSize + stepSize*len(s.Steps) + taskSize*s.TasksPerOccurrence())
-}
-
 // LongSchedule reports whether a job has more than MaxTasks tasks in all its occurrences. Progress
 // of such a job lists only the open occurrences.
 func (s Submission) LongSchedule() bool {
--- a/mfowner/activity.go
+++ b/mfowner/activity.go
@@ -115,6 +115,9 @@
 		if a := g.Advice; a.Waiting+a.Unanswered > 0 {
 			fields["advice"] = fmt.Sprintf("waiting %d unanswered %d wait %d ms", a.Waiting, a.Unanswered, a.Wait.Milliseconds())
 		}
+		if g.RowFull > 0 {
+			fields["row_full"] = g.RowFull
+		}
 		s.addLoopFields(fields, cpu)
 		for service, p := range g.Pools {
 			fields[string(service)] = fmt.Sprintf("workers %d usable %d cores %.2f memory %.2f waiting %d running %d", p.Listed, p.Usable, p.Cores, p.Memory, p.Waiting, p.Running)
--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -19,6 +19,7 @@
 	rows := s.journal.Write(c.Progress)
 	head := mfrecord.Head{Holder: s.owner.Daemon, Epoch: s.committer.head.Epoch, Cores: s.owner.cores(), LeaseTail: s.leaseTail(now)}
 	head.CallAges, head.MaxCapacity = s.callAges(now), s.machines.maxCapacity
+	head.LongestWorkerID = s.state.LongestWorkerID()
 	head.CalledBy = maps.Clone(s.machines.calledBy)
 	if pending, known := s.state.Pending(); known {
 		head.PendingKnown, head.Pending, head.EstimatedWaits = true, pending, s.waits(now)
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -132,6 +132,9 @@
 	// MaxCapacity is the maximum of each resource over all machines; zero while the owner has
 	// not listed machines.
 	MaxCapacity mothferry.Resources
+	// LongestWorkerID is the length of the longest id of a worker, as stored; zero while the owner
+	// has listed no workers.
+	LongestWorkerID int
 	// CallAges holds the machines for which this owner or the previous one may recently have
 	// called the platform, and how long before this commit; negative for calls that may still
 	// be sent. An owner sends a call only after the commit that names it is stored.
@@ -159,6 +162,8 @@
 	// Shares is missing if capacity is not divided among accounts, and empty if nothing waits.
 	Shares  *storedShares        `json:"shares,omitempty"`
 	Largest *mothferry.Resources `json:"largest,omitempty"`
+	// LongestWorkerID is missing if it is zero.
+	LongestWorkerID int `json:"longest_worker_id,omitempty"`
 	// CalledMs replaced Called in format 2.
 	Called   []mothferry.MachineID                      `json:"called,omitempty"`
 	CalledMs map[mothferry.MachineID]int64              `json:"called_ms,omitempty"`
@@ -189,7 +194,7 @@
 		Format: headFormat, Holder: h.Holder, Epoch: h.Epoch, Cores: h.Cores,
 		TailMs: h.LeaseTail.Milliseconds(), Token: h.Token, Counted: h.PendingKnown, Pending: h.Pending, CalledBy: h.CalledBy,
 		CalledMs: map[mothferry.MachineID]int64{}, WaitMs: map[mothferry.ServiceID]int64{},
-		AdviceWaitMs: h.AdviceWait.Milliseconds(),
+		AdviceWaitMs: h.AdviceWait.Milliseconds(), LongestWorkerID: h.LongestWorkerID,
 	}
 	for service, wait := range h.EstimatedWaits {
 		stored.WaitMs[service] = wait.Milliseconds()
@@ -220,7 +225,7 @@
 		Holder: s.Holder, Epoch: s.Epoch, Cores: s.Cores, LeaseTail: time.Duration(s.TailMs) * time.Millisecond,
 		Token: s.Token, PendingKnown: s.Counted, Pending: s.Pending, CalledBy: s.CalledBy,
 		CallAges: map[mothferry.MachineID]time.Duration{}, EstimatedWaits: map[mothferry.ServiceID]time.Duration{},
-		AdviceWait: time.Duration(s.AdviceWaitMs) * time.Millisecond,
+		AdviceWait: time.Duration(s.AdviceWaitMs) * time.Millisecond, LongestWorkerID: s.LongestWorkerID,
 	}
 	for service, ms := range s.WaitMs {
 		h.EstimatedWaits[service] = time.Duration(ms) * time.Millisecond
--- a/mfrecord/record_test.go
+++ b/mfrecord/record_test.go
@@ -15,7 +15,7 @@
 func TestHeadRoundTrip(t *testing.T) {
 	want := mfrecord.Head{
 		Holder: "h-1", Epoch: 7, Cores: 400, LeaseTail: 8800 * time.Millisecond, Token: "h-1/1/2",
-		Pending: map[mothferry.QueueID]int{"q": 3}, EstimatedWaits: map[mothferry.ServiceID]time.Duration{"s": time.Second}, AdviceWait: 2 * time.Second,
+		Pending: map[mothferry.QueueID]int{"q": 3}, EstimatedWaits: map[mothferry.ServiceID]time.Duration{"s": time.Second}, AdviceWait: 2 * time.Second, LongestWorkerID: 12,
 		CallAges: map[mothferry.MachineID]time.Duration{"m-1": 2 * time.Second}, MaxCapacity: mothferry.Resources{Cores: 16000, Memory: mothferry.Gibibyte},
 	}
 	data, err := want.Encode()
--- a/mfsched/gang.go
+++ b/mfsched/gang.go
@@ -50,7 +50,7 @@
 	if !c.job.account.admitsAll(p.spec.Need, len(p.tasks)) {
 		return
 	}
-	chosen := s.draftGang(c, p, capacity, now)
+	chosen := s.draftGang(c, p, run+1, capacity, now)
 	checkpoint := p.tasks[0].checkpoint
 	for i, w := range chosen {
 		p.tasks[i].checkpoint = checkpoint
@@ -60,7 +60,7 @@
 }
 
 // draftGang returns a worker for each member of a gang; nil if not all of them can be placed.
-func (s *State) draftGang(c *candidate, p *step, capacity *placementCapacity, now time.Time) []*worker {
+func (s *State) draftGang(c *candidate, p *step, run mothferry.RunNumber, capacity *placementCapacity, now time.Time) []*worker {
 	s.draft = &gangDraft{step: p, members: map[*worker]int{}}
 	defer func() { s.draft = nil }()
 	room := s.rowRoomOf(c.job)
@@ -70,8 +70,8 @@
 		if w == nil {
 			return nil
 		}
-		if !room.take(w) {
-			s.logRowFull(c.job)
+		if !room.take(t, w, run) {
+			s.recordRowFull(c.job, now)
 			return nil
 		}
 		s.draft.members[w]++
--- a/mfsched/gauge.go
+++ b/mfsched/gauge.go
@@ -11,6 +11,8 @@
 	// Live counts jobs that have not finished, Dirty the jobs whose changes are in no commit yet.
 	Live, Dirty int
 	Advice      AdviceGauge
+	// RowFull counts the jobs with tasks that wait for room in their row.
+	RowFull int
 	// Pools holds the gauges of the services' workers.
 	Pools map[mothferry.ServiceID]PoolGauge
 }
@@ -53,6 +55,9 @@
 		g.Pools[w.Service] = p
 	}
 	for _, j := range s.live {
+		if j.isRowFull(now) {
+			g.RowFull++
+		}
 		service := s.queueOf(j).Service
 		p := g.Pools[service]
 		p.Waiting += waitingTasks(j, now)
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -334,22 +334,31 @@
 	}
 	out := mfjob.StepProgress{Tasks: make([]mfjob.TaskProgress, 0, len(st.tasks))}
 	for _, t := range st.tasks {
-		stored := mfjob.TaskProgress{
-			Done: t.phase == phaseDone, Run: t.highestRun(), Failures: t.failures, Crashes: t.crashes,
-		}
+		stored := t.progress()
 		if !stored.Done {
 			stored.Checkpoint = t.checkpoint
 		}
-		if t.worker != nil {
-			stored.Worker = t.worker.at.Worker
-		}
-		if t.worker != nil && t.run != t.highestRun() {
-			stored.Current = t.run
-		}
-		if t.copyTask != nil {
-			stored.Copy, stored.CopyWorker = t.copyTask.run, t.copyTask.worker.at.Worker
-		}
 		out.Tasks = append(out.Tasks, stored)
 	}
 	return out
 }
+
+// progress returns the progress of a task that has to be stored, without its checkpoint.
+func (t *task) progress() mfjob.TaskProgress {
+	stored := mfjob.TaskProgress{
+		Done: t.phase == phaseDone, Run: t.highestRun(), Failures: t.failures, Crashes: t.crashes.Stored(),
+	}
+	if t.step.spec.Lasting {
+		stored.Failures = min(stored.Failures, mfjob.MaxStoredFailures)
+	}
+	if t.worker != nil {
+		stored.Worker = t.worker.at.Worker
+	}
+	if t.worker != nil && t.run != t.highestRun() {
+		stored.Current = t.run
+	}
+	if t.copyTask != nil {
+		stored.Copy, stored.CopyWorker = t.copyTask.run, t.copyTask.worker.at.Worker
+	}
+	return stored
+}
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -92,8 +92,8 @@
 		if w == nil || capacity.turnover != nil && w.slowStatus.Degraded() && s.canRunOnNormalWorker(t, capacity.workers) && capacity.turnover.shouldWait(t, w, now) {
 			break
 		}
-		if !room.take(w) {
-			s.logRowFull(c.job)
+		if !room.take(t, w, t.highestRun()+1) {
+			s.recordRowFull(c.job, now)
 			break
 		}
 		s.plan(t, w, t.highestRun()+1, now)
--- a/mfsched/rowsize.go
+++ b/mfsched/rowsize.go
@@ -1,31 +1,13 @@
 package mfsched
 
 import (
+	"time"
+
 	"mothferry"
 	"mothferry/mfjob"
 	"mothferry/mfjournal"
 )
 
-// Sizes of the stored form of a job's progress, in bytes.
-const (
-	// jobRowBytes is that of a job without its account and its occurrences.
-	jobRowBytes = 128
-	// occurrenceRowBytes is that of an open occurrence of a long schedule without its steps.
-	occurrenceRowBytes = 24
-	// stepRowBytes is that of a step without its tasks.
-	stepRowBytes = 14
-	// newTaskRowBytes is that of a task without a run, taskRowBytes that of a task without its
-	// numbers and texts, with counts of crashes.
-	newTaskRowBytes = 4
-	taskRowBytes    = 18
-	// copyRowBytes is what a copy adds to its task, apart from its numbers and its worker's id.
-	copyRowBytes = 5
-)
-
-// unboundedJobTasks is the number of open tasks up to which a job's progress fits a row with any
-// worker ids.
-const unboundedJobTasks = 50
-
 // maxRow returns the largest value that the store takes.
 func (s *State) maxRow() int {
 	if s.Limits.MaxRow == 0 {
@@ -50,80 +32,81 @@
 }
 
 func (s *State) storedSizeWithoutCheckpoints(j *job) int {
-	size := jobRowBytes + mfjob.TextSize(string(j.submission.Account))
+	size := storedSizeWithoutTasks(j)
 	if j.state.Final() {
 		return size
 	}
-	if !j.submission.LongSchedule() {
-		size += (j.begun - len(j.occurrences)) * (occurrenceRowBytes + stepRowBytes*len(j.submission.Steps))
-	}
 	for _, o := range j.occurrences {
-		size += occurrenceRowBytes + stepRowBytes*len(o.steps)
 		for _, p := range o.steps {
 			if p.remaining == 0 {
 				continue
 			}
 			for _, t := range p.tasks {
-				size += t.storedSize()
+				size += t.progress().MaxSize()
 			}
 		}
 	}
 	return size
 }
 
-// storedSize returns an upper bound for the size of a task without its checkpoint. An assigned task
-// counts as one whose worker may crash, so that its size does not grow when that happens.
-func (t *task) storedSize() int {
-	run := t.highestRun()
-	if run == 0 {
-		return newTaskRowBytes
-	}
-	size := taskRowBytes + digits(int(run)) + digits(t.failures) + digits(t.crashes.Known) + digits(t.crashes.Early) + digits(t.crashes.Unseen)
-	if t.worker != nil {
-		size += idSize(t.worker)
-	}
-	if t.copyTask != nil || t.worker != nil && t.run != run {
-		size += copyRowBytes + 2*digits(int(run))
+// storedSizeWithoutTasks returns an upper bound for the size of a job's stored progress without its
+// tasks.
+func storedSizeWithoutTasks(j *job) int {
+	size := mfjob.JobSize + mfjob.TextSize(string(j.submission.Account))
+	if j.state.Final() {
+		return size
 	}
-	if t.copyTask != nil {
-		size += idSize(t.copyTask.worker)
+	occurrences := len(j.occurrences)
+	if !j.submission.LongSchedule() {
+		occurrences = j.begun
 	}
-	return size
+	return size + occurrences*(mfjob.OccurrenceSize+mfjob.StepSize*len(j.submission.Steps))
 }
 
-// digits returns the number of decimal digits of a number.
-func digits(n int) int {
-	count := 1
-	for ; n >= 10; n /= 10 {
-		count++
+// LongestWorkerID returns the length of the longest id of a worker, as stored.
+func (s *State) LongestWorkerID() int { return s.longestWorkerID }
+
+func (s *State) recordWorkerID(id mothferry.WorkerID) {
+	if size := mfjob.TextSize(string(id)); size > s.longestWorkerID {
+		s.longestWorkerID, s.maxTaskSize = size, mfjob.MaxTaskSize(size)
 	}
-	return count
 }
 
-func idSize(w *worker) int { return mfjob.TextSize(string(w.at.Worker)) }
-
 // rowRoom is how much further a job's stored progress may grow, so that its row keeps fitting.
 type rowRoom struct{ bytes int }
 
 // rowRoomOf returns the room in a job's row.
 func (s *State) rowRoomOf(j *job) rowRoom {
-	if j.openTasks() <= unboundedJobTasks {
+	if size := storedSizeWithoutTasks(j) + j.openTasks()*s.maxTaskSize; size <= s.maxRow() {
+		// No run of its tasks can fill the row.
 		return rowRoom{bytes: s.maxRow()}
 	}
 	return rowRoom{bytes: s.maxRow() - s.storedSizeWithoutCheckpoints(j)}
 }
 
-// plannedRunBytes is by how much the stored form of a task grows at most if a run or a copy of it is
-// planned, apart from the worker's id.
-const plannedRunBytes = taskRowBytes + copyRowBytes + 8
+// take takes the room for a run of a task on a worker; it reports whether there was enough.
+func (r *rowRoom) take(t *task, w *worker, run mothferry.RunNumber) bool {
+	p := t.progress()
+	before := p.MaxSize()
+	p.Run, p.Worker = run, w.at.Worker
+	return r.grow(p.MaxSize() - before)
+}
+
+// takeCopy takes the room for a copy of a task on a worker; it reports whether there was enough.
+func (r *rowRoom) takeCopy(t *task, w *worker) bool {
+	p := t.progress()
+	before := p.MaxSize()
+	p.Current, p.Run = t.run, t.highestRun()+1
+	p.Copy, p.CopyWorker = p.Run, w.at.Worker
+	return r.grow(p.MaxSize() - before)
+}
 
-// take takes the room for a run on a worker; it reports whether there was enough.
-func (r *rowRoom) take(w *worker) bool {
-	if size := plannedRunBytes + idSize(w); size <= r.bytes {
-		r.bytes -= size
-		return true
+func (r *rowRoom) grow(by int) bool {
+	if by > r.bytes {
+		return false
 	}
-	return false
+	r.bytes -= by
+	return true
 }
 
 func (j *job) openTasks() int { return len(j.occurrences) * j.submission.TasksPerOccurrence() }
@@ -132,11 +115,20 @@
 // the journal moves along, the head and the waves.
 const maxCommitBytes = 320 * mothferry.Kibibyte
 
-// logRowFull logs once for each job that its tasks wait until others end, as its row is full.
-func (s *State) logRowFull(j *job) {
-	if j.rowFull {
-		return
+// rowFullFor is how long a job counts as held for want of room after a task last was.
+const rowFullFor = 2 * time.Second
+
+// recordRowFull records that tasks of a job wait until others end, as its row is full.
+func (s *State) recordRowFull(j *job, now time.Time) {
+	if !j.isRowFull(now) {
+		s.emit(Decision{Message: "tasks wait for space in their job's row", Job: j.id, Fields: map[string]any{
+			"queue": j.submission.Queue, "open": j.openTasks(), "size": s.storedSizeWithoutCheckpoints(j), "limit": s.maxRow(),
+		}})
 	}
-	j.rowFull = true
-	s.emit(Decision{Message: "tasks wait for space in their job's row", Job: j.id, Fields: map[string]any{"queue": j.submission.Queue, "open": j.openTasks()}})
+	j.rowFullAt = now
+}
+
+// isRowFull reports whether tasks of the job wait for room in its row.
+func (j *job) isRowFull(now time.Time) bool {
+	return !j.rowFullAt.IsZero() && now.Sub(j.rowFullAt) < rowFullFor
 }
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -184,8 +184,8 @@
 	occurrences []*occurrence
 	begun       int
 	heldBack    bool
-	// rowFull reports whether tasks ever had to wait because the job's row was full.
-	rowFull bool
+	// rowFullAt is when a task last had to wait because the job's row was full; zero for never.
+	rowFullAt time.Time
 	// started reports whether a run was ever planned.
 	started bool
 	// rejections counts the commits of the job that the store rejected, alone reports whether its
@@ -304,6 +304,10 @@
 	// cancelledEarly holds the cancellations of jobs that have not been found yet.
 	cancelledEarly map[mothferry.JobID]bool
 
+	// longestWorkerID is the length of the longest id of a worker, as stored, and maxTaskSize the
+	// largest size of a task's progress with it.
+	longestWorkerID, maxTaskSize int
+
 	advice          adviceQueue
 	candidateBuffer candidateBuffer
 	effort          Effort
--- a/mfsched/straggler.go
+++ b/mfsched/straggler.go
@@ -202,8 +202,8 @@
 	if target == nil {
 		return true
 	}
-	if room := s.rowRoomOf(t.job); m == mitigationCopy && !room.take(target) {
-		s.logRowFull(t.job)
+	if room := s.rowRoomOf(t.job); m == mitigationCopy && !room.takeCopy(t, target) {
+		s.recordRowFull(t.job, now)
 		return true
 	}
 	message := MessageRestarted
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -188,6 +188,7 @@
 		s.emit(Decision{Message: "worker drains", Worker: l.At.Worker})
 	}
 	w.Worker, w.at, w.listed = l, l.At, true
+	s.recordWorkerID(l.At.Worker)
 }
 
 func (s *State) workerUnlisted(id mothferry.WorkerID) {
