mfintake, mfsched: store cancellations of jobs that do not exist yet

Cause: a cancellation was stored only for a job that was found. A write of the job without an answer may be applied seconds later, and nothing then said that it was cancelled.

Fix: the cancellation becomes a row of its own if the job's row is absent, and each write of a job checks that this row is absent. The store thus refuses late writes, whichever host made them. The owner also cancels a job that a host of an older version wrote without the check. golang.org/x/time is a new dependency, for the limit.

TestCancelOfUnknownJob asked that a job be accepted after its cancellation was answered with 410. That is what the fault was: a task that starts after an acknowledged cancellation (2xx or 410) was not asked for. The test now asks that such a job be refused, and that another id be accepted and cancelled.

--- a/mfintake/intake.go
+++ b/mfintake/intake.go
@@ -16,6 +16,7 @@
 
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
 
 	"mothferry"
 	"mothferry/mfjob"
@@ -62,6 +63,8 @@
 	mutex           sync.Mutex
 	admission       mfshare.AdmissionController
 	unresolvedSince map[mothferry.JobID]time.Time
+	// earlyCancels limits the early cancellations of jobs of which this host knows nothing.
+	earlyCancels *rate.Limiter
 }
 
 // CheckSize returns an ErrInvalid for a job whose submission or progress does not fit a row of the
@@ -102,10 +105,16 @@
 	}
 	key, part := mfrecord.JobKey(id), mfrecord.InboxPart(id)
 	_, err = i.Store.Commit(ctx, mothferry.Txn{
-		Checks: []mothferry.Check{{Table: mfrecord.TableInbox, Part: part, Key: key}},
+		Checks: []mothferry.Check{
+			{Table: mfrecord.TableInbox, Part: part, Key: key},
+			{Table: mfrecord.TableInbox, Part: part, Key: mfrecord.EarlyCancelKey(id, s.Account)},
+		},
 		Writes: []mothferry.Write{{Table: mfrecord.TableInbox, Part: part, Key: key, Value: value}},
 	})
 	outcome := i.acceptOutcome(id, err)
+	if cancelledEarly(err) {
+		outcome = OutcomeNotRun
+	}
 	if outcome == OutcomeDone && ownedByOther(err, s.Account) {
 		outcome = OutcomeIDTaken
 	}
@@ -144,6 +153,9 @@
 		return false
 	}
 	for _, r := range conflict.Rows {
+		if _, ok := mfrecord.JobOf(r.Key); !ok || r.Version == 0 {
+			continue
+		}
 		// A row that can't be decoded is reported by the owner, which has to run the job.
 		if s, err := mfjob.DecodeSubmission(r.Value); err == nil && !visible(s.Account, caller) {
 			return true
@@ -262,11 +274,19 @@
 }
 
 // Cancel stores the cancellation of a job by a caller of an account. For it, jobs of other
-// accounts do not exist.
+// accounts do not exist. If there is no such job, none is accepted from the account for a while: a
+// write of it may still be applied.
 func (i *Intake) Cancel(ctx context.Context, id mothferry.JobID, caller mothferry.AccountID) Outcome {
 	info, found, err := i.acceptedJob(ctx, id)
 	if err == nil && !found {
-		return OutcomeNoJob
+		outcome, appeared := i.cancelEarly(ctx, id, caller)
+		if !appeared {
+			return outcome
+		}
+		info, found, err = i.acceptedJob(ctx, id)
+		if err == nil && !found {
+			return OutcomeUnknown
+		}
 	}
 	if err == nil && !visible(info.account, caller) {
 		i.logOtherAccount(id, info.account, caller)
@@ -277,17 +297,23 @@
 			Table: mfrecord.TableInbox, Part: mfrecord.InboxPart(id), Key: mfrecord.CancelKey(id), Value: []byte("{}"),
 		}}})
 	}
-	outcome := OutcomeDone
+	outcome := cancelOutcome(err, OutcomeDone)
+	i.logEntry(id, "", err).WithField("outcome", outcome).Info("job cancellation requested by its caller")
+	return outcome
+}
+
+// cancelOutcome returns the outcome of a cancellation whose write ended with an error, or as stored.
+func cancelOutcome(err error, stored Outcome) Outcome {
 	var declined *mothferry.ErrDeclined
 	var rejected *mothferry.ErrRejected
 	switch {
+	case err == nil:
+		return stored
 	case errors.As(err, &declined), errors.As(err, &rejected):
-		outcome = OutcomeNotRun
-	case err != nil:
-		outcome = OutcomeUnknown
+		return OutcomeNotRun
+	default:
+		return OutcomeUnknown
 	}
-	i.logEntry(id, "", err).WithField("outcome", outcome).Info("job cancellation requested by its caller")
-	return outcome
 }
 
 func (i *Intake) readRow(ctx context.Context, table mothferry.TableID, part mothferry.PartID, key mothferry.Key) (mothferry.Row, bool, error) {
--- a/mfintake/intake_test.go
+++ b/mfintake/intake_test.go
@@ -63,14 +63,18 @@
 	assert.Equal(t, state, mfjob.StateQueued)
 }
 
-// TestCancelOfUnknownJob checks that a cancellation requires that the job exists.
+// TestCancelOfUnknownJob checks that the cancellation of a job that does not exist is answered so and
+// holds for a later submission, and that others are accepted and can be cancelled.
 func TestCancelOfUnknownJob(t *testing.T) {
+	const other mothferry.JobID = "0000000000000002"
 	rows := &mfstandin.Rows{}
 	i := newIntake(rows)
 	ctx := context.Background()
 	assert.Equal(t, i.Cancel(ctx, id, ""), mfintake.OutcomeNoJob)
-	assert.Equal(t, i.Accept(ctx, id, submission()), mfintake.OutcomeDone)
-	assert.Equal(t, i.Cancel(ctx, id, ""), mfintake.OutcomeDone)
+	assert.Equal(t, i.Accept(ctx, id, submission()), mfintake.OutcomeNotRun)
+	assert.Equal(t, i.Cancel(ctx, id, ""), mfintake.OutcomeNoJob)
+	assert.Equal(t, i.Accept(ctx, other, submission()), mfintake.OutcomeDone)
+	assert.Equal(t, i.Cancel(ctx, other, ""), mfintake.OutcomeDone)
 }
 
 // TestRejectedSubmissionIsRefused guards against a caller that is told to ask again for ever: a
--- a/mfowner/follow.go
+++ b/mfowner/follow.go
@@ -37,6 +37,10 @@
 			s.post(mfsched.CancelRequested{Job: id})
 			continue
 		}
+		if id, account, ok := mfrecord.EarlyCancelOf(r.Key); ok {
+			s.post(mfsched.EarlyCancelFound{EarlyCancel: mfsched.EarlyCancel{Job: id, Account: account}, Version: r.Version})
+			continue
+		}
 		id, ok := mfrecord.JobOf(r.Key)
 		if !ok {
 			continue
--- a/mfowner/order.go
+++ b/mfowner/order.go
@@ -116,6 +116,24 @@
 	s.owner.Log.WithField("jobs", len(c.Jobs)).Info("finished jobs deleted")
 }
 
+// deleteEarlyCancels deletes early cancellations that have not been written again.
+func (s *session) deleteEarlyCancels(c mfsched.DeleteEarlyCancels) {
+	txn := mothferry.Txn{SpansParts: true}
+	for e, version := range c.Rows {
+		part, key := mfrecord.InboxPart(e.Job), mfrecord.EarlyCancelKey(e.Job, e.Account)
+		txn.Checks = append(txn.Checks, mothferry.Check{Table: mfrecord.TableInbox, Part: part, Key: key, Version: version})
+		txn.Writes = append(txn.Writes, mothferry.Write{Table: mfrecord.TableInbox, Part: part, Key: key, Delete: true})
+	}
+	_, err := s.owner.Store.Commit(s.ctx, txn)
+	entry := s.owner.Log.WithField("rows", len(c.Rows))
+	if err != nil {
+		entry.WithError(err).Warn("failed to delete early cancellations")
+	} else {
+		entry.Info("early cancellations deleted")
+	}
+	s.post(mfsched.EarlyCancelsDeleted{Rows: c.Rows, Deleted: err == nil})
+}
+
 // progressDeletes returns up to limit writes that delete the progress of jobs whose other rows
 // are deleted. They are part of the owner's commits, as a separate delete by a deposed owner
 // could take effect after the new owner has read the inbox.
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -299,6 +299,8 @@
 		go s.deleteSubmissions(v)
 	case mfsched.DeleteJobs:
 		go s.deleteJobs(v)
+	case mfsched.DeleteEarlyCancels:
+		go s.deleteEarlyCancels(v)
 	case mfsched.Decision:
 		s.logDecision(v)
 	case mfsched.JobEnd:
--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -4,6 +4,11 @@
 //	inbox    part inbox-NN  job/ID     a caller's submission; written once, deleted
 //	                                  some seconds after the job has ended
 //	                       cancel/ID  a caller's cancellation; written once
+//	                       cancel-early/ID/ACCOUNT
+//	                                  the cancellation, by a caller of an account, of a
+//	                                  job that did not exist: no submission of such a
+//	                                  job is written while the row exists; deleted by
+//	                                  the owner some seconds later
 //	progress part SHARD    ID         progress of the job; written only by the owner
 //	log      part SHARD    number     progress of jobs changed since their own row
 //	owner    part SHARD    head       the owner of the shard; rewritten by each of
@@ -17,6 +22,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +76,8 @@
 const (
 	prefixJob    = "job/"
 	prefixCancel = "cancel/"
+
+	prefixEarlyCancel = "cancel-early/"
 )
 
 // LogKey returns the key of a log row. Keys sort like their numbers.
@@ -87,6 +95,21 @@
 // CancelKey returns the inbox key of a job's cancellation.
 func CancelKey(id mothferry.JobID) mothferry.Key { return mothferry.Key(prefixCancel + string(id)) }
 
+// EarlyCancelKey returns the inbox key of the cancellation of a job that did not exist, by a caller of
+// an account.
+func EarlyCancelKey(id mothferry.JobID, account mothferry.AccountID) mothferry.Key {
+	return mothferry.Key(prefixEarlyCancel + string(id) + "/" + url.QueryEscape(string(account)))
+}
+
+// EarlyCancelOf returns the job and the account of an early cancellation's inbox key, or false for
+// another kind of key.
+func EarlyCancelOf(k mothferry.Key) (mothferry.JobID, mothferry.AccountID, bool) {
+	rest, ok := strings.CutPrefix(string(k), prefixEarlyCancel)
+	id, escaped, hasAccount := strings.Cut(rest, "/")
+	account, err := url.QueryUnescape(escaped)
+	return mothferry.JobID(id), mothferry.AccountID(account), ok && hasAccount && err == nil
+}
+
 // JobOf returns the job of a job's inbox key, or false for another kind of key.
 func JobOf(k mothferry.Key) (mothferry.JobID, bool) {
 	id, ok := strings.CutPrefix(string(k), prefixJob)
--- a/mfrecord/record_test.go
+++ b/mfrecord/record_test.go
@@ -84,3 +84,17 @@
 	assert.NilError(t, err)
 	assert.Assert(t, got.Shares == nil, "an owner that does not divide capacity, or that runs an older version")
 }
+
+// Guards against an account whose name changes the key of its early cancellations.
+func TestEarlyCancelKeysRoundTrip(t *testing.T) {
+	for _, account := range []mothferry.AccountID{"", "label-1", "a/b %2F\n", "cancel-early/x"} {
+		id, got, ok := mfrecord.EarlyCancelOf(mfrecord.EarlyCancelKey("5c0e7a21d94b36f8", account))
+		assert.Assert(t, ok)
+		assert.Equal(t, id, mothferry.JobID("5c0e7a21d94b36f8"))
+		assert.Equal(t, got, account)
+	}
+	_, _, ok := mfrecord.EarlyCancelOf(mfrecord.CancelKey("5c0e7a21d94b36f8"))
+	assert.Assert(t, !ok)
+	_, ok = mfrecord.CancelOf(mfrecord.EarlyCancelKey("5c0e7a21d94b36f8", ""))
+	assert.Assert(t, !ok)
+}
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -207,6 +207,19 @@
 	IncarnationEndUnknown IncarnationEndCause = "unknown"
 )
 
+// EarlyCancelFound reports the stored cancellation of a job that did not exist.
+type EarlyCancelFound struct {
+	EarlyCancel
+	// Version is that of its row.
+	Version mothferry.Version
+}
+
+// EarlyCancelsDeleted is the result of DeleteEarlyCancels.
+type EarlyCancelsDeleted struct {
+	Rows    map[EarlyCancel]mothferry.Version
+	Deleted bool
+}
+
 // Tick only lets time pass.
 type Tick struct{}
 
@@ -216,6 +229,8 @@
 func (DeleteJobsAnswered) event()    {}
 func (JobsLoaded) event()            {}
 func (CancelRequested) event()       {}
+func (EarlyCancelFound) event()      {}
+func (EarlyCancelsDeleted) event()   {}
 func (WorkerListed) event()          {}
 func (WorkerUnlisted) event()        {}
 func (PollAnswered) event()          {}
@@ -284,6 +299,12 @@
 	Jobs []mothferry.JobID
 }
 
+// DeleteEarlyCancels asks to delete early cancellations, if their rows still have these versions.
+// EarlyCancelsDeleted is the answer.
+type DeleteEarlyCancels struct {
+	Rows map[EarlyCancel]mothferry.Version
+}
+
 // DeleteSubmissions asks to delete the submissions of finished jobs. Their progress is kept,
 // as callers query their state from it.
 type DeleteSubmissions struct {
@@ -317,13 +338,14 @@
 	EndCancelled End = "cancelled"
 )
 
-func (JobEnd) command()            {}
-func (Commit) command()            {}
-func (Start) command()             {}
-func (Stop) command()              {}
-func (Poll) command()              {}
-func (Pace) command()              {}
-func (RequestAdvice) command()     {}
-func (DeleteJobs) command()        {}
-func (DeleteSubmissions) command() {}
-func (Decision) command()          {}
+func (JobEnd) command()             {}
+func (Commit) command()             {}
+func (Start) command()              {}
+func (Stop) command()               {}
+func (Poll) command()               {}
+func (Pace) command()               {}
+func (RequestAdvice) command()      {}
+func (DeleteJobs) command()         {}
+func (DeleteEarlyCancels) command() {}
+func (DeleteSubmissions) command()  {}
+func (Decision) command()           {}
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -49,7 +49,7 @@
 	}
 	s.upcoming[j.id] = j
 	s.beginDue(j, now)
-	if s.cancelledEarly[e.Job] {
+	if s.cancelledEarly[e.Job] || s.earlyCancels.covers(j) {
 		delete(s.cancelledEarly, e.Job)
 		s.cancel(e.Job, now)
 	}
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -304,6 +304,7 @@
 	// cancelledEarly holds the cancellations of jobs that have not been found yet.
 	cancelledEarly map[mothferry.JobID]bool
 
+	earlyCancels earlyCancels
 	// longestWorkerID is the length of the longest id of a worker, as stored, and maxTaskSize the
 	// largest size of a task's progress with it.
 	longestWorkerID, maxTaskSize int
@@ -348,6 +349,10 @@
 		s.loaded = true
 	case CancelRequested:
 		s.cancel(v.Job, now)
+	case EarlyCancelFound:
+		s.earlyCancels.add(v.EarlyCancel, v.Version, now)
+	case EarlyCancelsDeleted:
+		s.earlyCancelsDeleted(v, now)
 	case WorkerListed:
 		s.workerListed(v.Worker, now)
 	case WorkerUnlisted:
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -31,6 +31,7 @@
 		s.expireUnresolved(now)
 		s.deleteSubmissions(now)
 		s.deleteJobs(now)
+		s.deleteEarlyCancels(now)
 	}
 	if s.commitInFlight || now.Sub(s.lastCommit) < minCommitInterval {
 		return
