mfsched: keep placement from growing with waiting sizes times workers

What callers saw: none so far; a full pool with many waiting sizes that do not cover each other (more cores beside less memory) made each round compare all of them with all workers, as before.

Cause: a round remembered which sizes fit nowhere, which tells nothing about a size that is larger in one resource and smaller in another.

Fix: after a search that failed a round keeps the free capacities that no other one covers, by label. What fits into none of them fits on no worker. Capacity only shrinks within a round, so that an older list remains an upper bound; it is made again when a search fails that it allowed.

--- a/mfsched/capacity.go
+++ b/mfsched/capacity.go
@@ -8,41 +8,44 @@
 	"mothferry/mfjob"
 )
 
-// unplaceable holds sizes that are known to fit on no worker, by the label that the task requires.
-// Of sizes that fit into each other only the smallest is kept.
-type unplaceable map[string][]mothferry.Resources
-
-// add records that a task of a step fits on no worker.
-func (u unplaceable) add(spec *mfjob.Step) {
-	size := spec.Reservation()
-	list := slices.DeleteFunc(u[spec.Label], func(o mothferry.Resources) bool { return size.Fits(o) })
-	u[spec.Label] = append(list, size)
+// freeCapacity is the free capacity of some workers in one round. It only shrinks within a round.
+type freeCapacity struct {
+	workers []*worker
+	free    []mothferry.Resources
+	// largest holds, by label, the free capacities that no other one of a worker with that label
+	// covers. What fits into none of them fits on no worker. A list is made once a search for a
+	// worker has failed, and again if another one fails although the list would allow the size.
+	largest map[string][]mothferry.Resources
+	effort  *Effort
 }
 
 // cannotFit reports whether a task of a step is known to fit on no worker.
-func (u unplaceable) cannotFit(spec *mfjob.Step) bool {
-	size := spec.Reservation()
-	for _, label := range []string{"", spec.Label} {
-		for _, o := range u[label] {
-			if o.Fits(size) {
-				return true
-			}
-		}
-		if spec.Label == "" {
-			break
+func (f *freeCapacity) cannotFit(spec *mfjob.Step) bool {
+	list, known := f.largest[spec.Label]
+	return known && !slices.ContainsFunc(list, spec.Reservation().Fits)
+}
+
+// searchFailed records that a task of a step fits on no worker.
+func (f *freeCapacity) searchFailed(spec *mfjob.Step) {
+	var list []mothferry.Resources
+	f.effort.Workers += len(f.workers)
+	for i, free := range f.free {
+		if !hasLabel(f.workers[i], spec.Label) || slices.ContainsFunc(list, free.Fits) {
+			continue
 		}
+		list = append(slices.DeleteFunc(list, func(o mothferry.Resources) bool { return o.Fits(free) }), free)
+	}
+	if f.largest == nil {
+		f.largest = map[string][]mothferry.Resources{}
 	}
-	return false
+	f.largest[spec.Label] = list
 }
 
-// placementCapacity is the free capacity of a service's usable workers in one round. Capacity only
-// shrinks within a round, so that a size that fits nowhere is not searched for again.
+// placementCapacity is the free capacity of a service's usable workers in one round.
 type placementCapacity struct {
-	workers []*worker
-	// free is the free capacity of each worker, packing its score for a task without preferences.
-	free    []mothferry.Resources
+	freeCapacity
+	// packing is each worker's score for a task without preferences.
 	packing []float64
-	unplaceable
 	// used and total are the workers' cores; trials counts the workers on trial.
 	used, total mothferry.Millicores
 	trials      int
@@ -53,7 +56,7 @@
 var full = mothferry.Resources{Cores: -1, Memory: -1, Accelerators: -1}
 
 func (s *State) placementCapacityOf(service mothferry.ServiceID, now time.Time) *placementCapacity {
-	p := &placementCapacity{workers: s.usable(service, now), unplaceable: unplaceable{}}
+	p := &placementCapacity{freeCapacity: freeCapacity{workers: s.usable(service, now), effort: &s.effort}}
 	p.turnover = s.turnoverOf(p.workers)
 	p.free, p.packing = make([]mothferry.Resources, len(p.workers)), make([]float64, len(p.workers))
 	for i, w := range p.workers {
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -196,7 +196,7 @@
 		best, bestScore = w, score
 	}
 	if !fits {
-		capacity.unplaceable.add(spec)
+		capacity.searchFailed(spec)
 	}
 	return best
 }
--- a/mfsched/straggler.go
+++ b/mfsched/straggler.go
@@ -81,17 +81,15 @@
 // relocationCapacity is the free capacity of a service's normal workers, less what is reserved for
 // tasks that were stopped to restart there.
 type relocationCapacity struct {
-	workers []*worker
-	free    []mothferry.Resources
-	index   map[*worker]int
-	unplaceable
+	freeCapacity
+	index map[*worker]int
 	// corrected caches the results of correctedSubmission.
 	corrected map[*job]mfjob.Submission
 }
 
 // relocationCapacityOf returns the free capacity of a service's normal workers.
 func (s *State) relocationCapacityOf(service mothferry.ServiceID, now time.Time) *relocationCapacity {
-	r := &relocationCapacity{index: map[*worker]int{}, unplaceable: unplaceable{}, corrected: map[*job]mfjob.Submission{}}
+	r := &relocationCapacity{freeCapacity: freeCapacity{effort: &s.effort}, index: map[*worker]int{}, corrected: map[*job]mfjob.Submission{}}
 	for _, w := range s.sortedWorkers {
 		if w.Service != service || w.slowStatus.Degraded() || w.onTrial() || !s.isSchedulable(w, now) {
 			continue
@@ -122,7 +120,7 @@
 		}
 	}
 	if i < 0 {
-		r.unplaceable.add(spec)
+		r.searchFailed(spec)
 		return
 	}
 	r.free[i] = r.free[i].Sub(spec.Reservation())
@@ -251,7 +249,7 @@
 		}
 	}
 	if !fits {
-		r.unplaceable.add(spec)
+		r.searchFailed(spec)
 	}
 	return best
 }
