mfsched: use late advice of a slow adviser, and publish no wait for lost answers

What callers would see: a queue whose adviser takes longer than the config says, by more than its tickets are valid, never starts a job, as each ticket counts as expired when it comes. An answer that is lost while nobody waits for it made hosts refuse advised jobs for up to 10 s.

Cause: tickets counted from when the config says that the adviser had handled the call, however long it really took; the silence of the adviser counted while only overdue calls were open.

Fix: tickets count from the previous answer, or the call, by the measured service time if that is longer. Silence counts only while a step waits or a call is not overdue. Ids of workers that only a previous owner knew count for the row, too.

Tests: the case "slower than the config says" of TestWaitingStepsGetAdvice and TestLostAnswerIsNoWaitForAdvice fail before this commit.

--- a/mfsched/advice.go
+++ b/mfsched/advice.go
@@ -121,16 +121,18 @@
 
 // wait returns a lower bound on how long a step that is ready now waits for its advice.
 func (q *adviceQueue) wait(now time.Time) time.Duration {
-	wait := time.Duration(len(q.calls)+q.waiting) * q.serviceTime()
-	if len(q.calls) == 0 {
-		return wait
-	}
-	oldest := now
+	oldest, silent := now, q.waiting > 0
 	for _, c := range q.calls {
+		silent = silent || !c.overdue
 		if c.sentAt.Before(oldest) {
 			oldest = c.sentAt
 		}
 	}
+	wait := time.Duration(len(q.calls)+q.waiting) * q.serviceTime()
+	if !silent {
+		// Only answers that nobody waits for are missing: they may be lost.
+		return wait
+	}
 	return max(wait, now.Sub(later(oldest, q.lastAnswerAt)))
 }
 
@@ -266,19 +268,20 @@
 		s.adviceFailed(c, e.Declined, now)
 		return
 	}
-	q.serviceTimes[0], q.serviceTimes[1] = q.serviceTimes[1], now.Sub(later(c.sentAt, q.lastAnswerAt))
+	began := later(c.sentAt, q.lastAnswerAt)
+	q.serviceTimes[0], q.serviceTimes[1] = q.serviceTimes[1], now.Sub(began)
 	if q.serviceTimes[0] == 0 {
 		q.serviceTimes[0] = q.serviceTimes[1]
 	}
 	q.lastAnswerAt = now
-	if p.tickets == nil {
-		p.tickets, p.refused = map[mothferry.WorkerID]ticket{}, map[mothferry.WorkerID]bool{}
-	}
-	// The ticket was issued when the adviser had handled the call, but not after the answer.
-	issued := c.sentAt.Add(c.expected)
+	// The tickets were issued when the adviser had handled the call, but not after the answer.
+	issued := began.Add(max(c.expected, q.serviceTime()))
 	if issued.After(now) {
 		issued = now
 	}
+	if p.tickets == nil {
+		p.tickets, p.refused = map[mothferry.WorkerID]ticket{}, map[mothferry.WorkerID]bool{}
+	}
 	for _, w := range e.Asked {
 		text, granted := e.Tickets[w]
 		if !granted {
--- a/mfsched/advice_turn_test.go
+++ b/mfsched/advice_turn_test.go
@@ -24,6 +24,8 @@
 	// earlier process of the host that wait before the first one.
 	silent  time.Duration
 	foreign int
+	// unstated is how much longer a call takes than the config says.
+	unstated time.Duration
 
 	calls  []*turnCall
 	freeAt time.Time
@@ -145,7 +147,7 @@
 		if c.began.IsZero() {
 			c.began = f.now
 		}
-		if f.now.Sub(c.began) < a.times.Decide+time.Duration(len(c.Workers))*a.times.Each {
+		if f.now.Sub(c.began) < a.times.Decide+time.Duration(len(c.Workers))*a.times.Each+a.unstated {
 			return
 		}
 		a.calls = a.calls[1:]
@@ -226,6 +228,7 @@
 		{"wide steps", turnAdviser{times: quick}, []mfjob.Step{wide}, 20, 25 * time.Second},
 		{"wide gangs", turnAdviser{times: quick}, []mfjob.Step{gang}, 20, 25 * time.Second},
 		{"calls of 1.7 s", turnAdviser{times: slow}, []mfjob.Step{narrowStep()}, 10, 25 * time.Second},
+		{"slower than the config says", turnAdviser{times: quick, unstated: 4 * time.Second}, []mfjob.Step{narrowStep()}, 6, 60 * time.Second},
 		{"silent for 5 s", turnAdviser{times: quick, silent: 5 * time.Second}, []mfjob.Step{narrowStep()}, 40, 20 * time.Second},
 		{"declined", turnAdviser{times: quick, foreign: 40}, []mfjob.Step{narrowStep()}, 40, 20 * time.Second},
 	} {
@@ -244,6 +247,18 @@
 	}
 }
 
+// Guards against a wait that is published although the adviser is well: an answer is lost, and nobody
+// waits for it any more.
+func TestLostAnswerIsNoWaitForAdvice(t *testing.T) {
+	f := newAdvisedFleet(t, 12, &turnAdviser{times: mfsched.AdviceTimes{Decide: 40 * time.Millisecond}, valid: 3 * time.Second, giveUp: 10 * time.Second, silent: 4 * time.Second})
+	f.find(0, narrowStep())
+	f.run(time.Second)
+	assert.Assert(t, f.state.AdviceWait(f.now) > 800*time.Millisecond)
+	f.step(mfsched.CancelRequested{Job: "j-0000"})
+	f.run(2 * time.Second)
+	assert.Assert(t, f.state.AdviceWait(f.now) < 100*time.Millisecond, "%v", f.state.AdviceWait(f.now))
+}
+
 // Guards against steps that wait behind a step for which the adviser allows nothing: it is asked for
 // once about each worker.
 func TestStepWithoutTicketsDoesNotDelayOthers(t *testing.T) {
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -165,6 +165,7 @@
 	w := &worker{at: mothferry.WorkerAddress{Worker: id}, orphans: map[runID]orphanStop{}}
 	w.priorLeaseEnd = s.PriorLeaseEnd
 	s.workers[id] = w
+	s.recordWorkerID(id)
 	at, _ := slices.BinarySearchFunc(s.sortedWorkers, id, byID)
 	s.sortedWorkers = slices.Insert(s.sortedWorkers, at, w)
 	return w
@@ -188,7 +189,6 @@
 		s.emit(Decision{Message: "worker drains", Worker: l.At.Worker})
 	}
 	w.Worker, w.at, w.listed = l, l.At, true
-	s.recordWorkerID(l.At.Worker)
 }
 
 func (s *State) workerUnlisted(id mothferry.WorkerID) {
