mfsched, mfowner, mfrelay: log the runs of a step and the former run of a restart

With two runs of one task at hand, the logs did not say which owner in which epoch had ordered them, through which relay, when the starts were sent and answered, and why the task was free in between: only lasting tasks were logged with their runs, and nothing told how a run was known to have ended.

A start that takes long or has no answer has a line with its relay, and a task that starts again has one with the history of its former run and the evidence of its end. The relay is recorded through a trace in the context of the order.

--- a/mfowner/order.go
+++ b/mfowner/order.go
@@ -28,9 +28,10 @@
 
 func (s *session) start(c mfsched.Start) {
 	sent := s.owner.Clock.Now()
-	clock, err := s.owner.Workers.Start(s.ctx, c.At, c.Order)
+	var route mothferry.OrderTrace
+	clock, err := s.owner.Workers.Start(mothferry.WithOrderTrace(s.ctx, &route), c.At, c.Order)
 	r, refusal := orderResult(err)
-	s.post(mfsched.StartAnswered{Worker: c.At.Worker, Sent: sent, Task: c.Order.Task, Run: c.Order.Run, Result: r, Refusal: refusal, Clock: clock})
+	s.post(mfsched.StartAnswered{Worker: c.At.Worker, Sent: sent, Relay: route.Relay, Task: c.Order.Task, Run: c.Order.Run, Result: r, Refusal: refusal, Clock: clock})
 }
 
 func (s *session) stop(c mfsched.Stop) {
--- a/mfrelay/relay.go
+++ b/mfrelay/relay.go
@@ -218,6 +218,9 @@
 	if l == nil {
 		return r.Direct.Start(ctx, at, o)
 	}
+	if trace := mothferry.OrderTraceOf(ctx); trace != nil {
+		trace.Relay = l.host.Daemon
+	}
 	reply, err := l.execute(ctx, encodeStart(at, o), r.OrderTimeout+answerMargin)
 	return reply.Clock, err
 }
--- a/mfsched/event.go
+++ b/mfsched/event.go
@@ -125,8 +125,9 @@
 // StartAnswered is the result of a start order.
 type StartAnswered struct {
 	Worker mothferry.WorkerID
-	// Sent is when the order was sent.
+	// Sent is when the order was sent, Relay the host that relayed it; empty for none.
 	Sent    time.Time
+	Relay   mothferry.DaemonID
 	Task    mothferry.TaskName
 	Run     mothferry.RunNumber
 	Result  OrderResult
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -1,7 +1,6 @@
 package mfsched
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -73,8 +72,7 @@
 		s.placeGang(c, p, capacity, now)
 		return
 	}
-	var placed []*worker
-	var runs []string
+	var placed []*task
 	room := s.rowRoomOf(c.job)
 	for _, t := range p.tasks {
 		if t.phase != phaseWaiting || now.Before(t.notBefore) || t.awaitsEndCause(now) {
@@ -98,15 +96,12 @@
 		}
 		s.plan(t, w, t.highestRun()+1, now)
 		capacity.taken(t, w)
-		placed = append(placed, w)
-		if p.spec.Lasting {
-			runs = append(runs, fmt.Sprintf("%d run %d on %s", t.name.Index, t.run, w.at.Worker))
-		}
+		placed = append(placed, t)
 	}
 	if len(placed) > 0 {
 		s.emit(Decision{Message: "tasks are placed", Job: c.job.id, Fields: map[string]any{
 			"step": p.name.Step, "occurrence": p.name.Occurrence, "tasks": len(placed), "waiting": p.waiting,
-			"prospect": int(c.class), "slack_ms": c.slack.Milliseconds(), "workers": workerIDs(placed), "runs": runs,
+			"prospect": int(c.class), "slack_ms": c.slack.Milliseconds(), "workers": workersOf(placed), "runs": describePlaced(placed),
 		}})
 	}
 }
@@ -120,11 +115,12 @@
 	})
 }
 
-func workerIDs(workers []*worker) []mothferry.WorkerID {
+// workersOf returns the workers of tasks, each once.
+func workersOf(tasks []*task) []mothferry.WorkerID {
 	var out []mothferry.WorkerID
-	for _, w := range workers {
-		if !slices.Contains(out, w.at.Worker) {
-			out = append(out, w.at.Worker)
+	for _, t := range tasks {
+		if !slices.Contains(out, t.worker.at.Worker) {
+			out = append(out, t.worker.at.Worker)
 		}
 	}
 	return out
@@ -136,6 +132,7 @@
 	s.endTaskStage(t, TaskReady, later(t.step.readyAt, t.unavailableSince), now)
 	s.assign(t, w, phasePlanned)
 	t.run, t.plannedAt = run, now
+	s.logRestart(t, now)
 	if t.suspect() {
 		w.trial = t
 	}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -201,11 +201,11 @@
 			// The first poll of this epoch: an order of a previous owner that has not arrived
 			// by now is refused for its epoch.
 			s.logInheritedMissing(w, t)
-			s.requeue(t, now)
+			s.requeue(t, releasedMissingAtFirst, now)
 		case !t.stopAnsweredAt.IsZero() && t.stopAnsweredAt.Before(polledAt):
 			// The stop was carried out before the poll, and since then the worker refuses a
 			// start of the stopped run that is still in flight.
-			s.requeue(t, now)
+			s.requeue(t, releasedStopAnswered, now)
 		default:
 			s.resendStop(t, now)
 		}
@@ -230,7 +230,8 @@
 }
 
 // requeue returns a task to waiting whose run is known to have ended.
-func (s *State) requeue(t *task, now time.Time) {
+func (s *State) requeue(t *task, reason releaseReason, now time.Time) {
+	t.rememberRun(reason, now)
 	s.release(t)
 	t.unavailableSince = now
 	s.markDirty(t.job)
@@ -261,7 +262,7 @@
 	if !current {
 		return
 	}
-	s.requeue(t, now)
+	s.requeue(t, releasedEndListed, now)
 	if e.Cause == mothferry.EndFailed {
 		s.taskFailed(t.origin(), w, now)
 	}
@@ -341,6 +342,8 @@
 	if t == nil || t.run != e.Run || t.worker == nil || t.worker.at.Worker != e.Worker {
 		return
 	}
+	t.relay, t.startResult, t.startAnsweredAt = e.Relay, e.Result, now
+	s.logSlowStart(t, e, now)
 	if e.Result != ResultUnknown {
 		t.startsAnswered++
 	}
@@ -380,7 +383,7 @@
 		w.pausedUntil = now.Add(refusalBackoff)
 	}
 	t.notBefore = now.Add(minCommitInterval)
-	s.requeue(t, now)
+	s.requeue(t, releasedRefused, now)
 	s.emit(Decision{Message: "start was refused", Job: t.job.id, Worker: w.at.Worker, Fields: map[string]any{"step": t.name.Step, "index": t.name.Index, "run": t.run, "refusal": why}})
 }
 
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -63,8 +63,14 @@
 	// one was sent.
 	startsSent, startsPending, startsAnswered int
 	lastStartSent                             time.Time
-	failures                                  int
-	checkpoint                                mothferry.Checkpoint
+	// relay, startResult and startAnsweredAt tell of the last answer to a start of the run, former
+	// of the run before it; nil if there was none.
+	relay           mothferry.DaemonID
+	startResult     OrderResult
+	startAnsweredAt time.Time
+	former          *formerRun
+	failures        int
+	checkpoint      mothferry.Checkpoint
 	// checkpointPercent is the percentage at which the checkpoint is known to have been taken;
 	// zero if that is not known. checkpointAhead reports whether the checkpoint is from a run
 	// that had done more than the current one.
@@ -309,6 +315,7 @@
 	// largest size of a task's progress with it.
 	longestWorkerID, maxTaskSize int
 
+	restartLog      restartLog
 	advice          adviceQueue
 	candidateBuffer candidateBuffer
 	effort          Effort
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -60,7 +60,7 @@
 			runs[i] = t.origin()
 			runs[i].crashes.Unseen++
 			w.expiredRuns = append(w.expiredRuns, unresolvedRun{task: runs[i]})
-			s.requeue(t, now)
+			s.requeue(t, releasedLeaseExpired, now)
 		}
 		s.failJobsOf(slices.DeleteFunc(runs, func(t *task) bool { return !t.exceedsCrashLimits() }), now)
 	}
@@ -185,11 +185,11 @@
 			continue
 		}
 		if rejected[r.task.job] {
-			s.requeue(r.task, now)
+			s.requeue(r.task, releasedNotStored, now)
 			continue
 		}
 		if !r.task.job.account.stillAdmits(r.task.step.spec.Need) {
-			s.requeue(r.task, now)
+			s.requeue(r.task, releasedNotAdmitted, now)
 			continue
 		}
 		s.sendStart(r.task, now)
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -220,7 +220,7 @@
 	s.emit(Decision{Message: "worker's life is over", Worker: id, Fields: map[string]any{"tasks": len(w.tasks), "newest": w.newestRuns(), "cause": cause}})
 	toFail := s.attributeEnd(w, w.tasksWhere(func(t *task) bool { return t.phase != phasePlanned }), cause, now)
 	for _, t := range w.tasksWhere(anyTask) {
-		s.requeue(t, now)
+		s.requeue(t, releasedLifeEnded, now)
 		s.delayRestart(t, now)
 	}
 	s.removeWorker(w)
