mfsched: what concerns an earlier incarnation of an id ends no new one

A caller could see a task run twice: all tasks of a worker were free at once though the worker went on. A worker that has ended is removed, and nothing was kept of it. When it was listed again under its id, a 421 to a poll, a start or a stop of the former incarnation, or a list of machines requested before, was taken for the end of the new one. The mark that tells such answers apart, restartedAt, was set only while the worker stayed known. An answer to a poll of the former incarnation likewise counted as the first answer of the new one, unless it told when it started. The same happened with orders to a former address of a worker: the time at which a call began says little about when the order was decided, or where it went.

Listed again, it counts as restarted. An answer to a poll counts if the poll was sent to the present incarnation and address, which the list of open polls tells, whatever the times. A 421 to a start or a stop ends nothing by itself: the present address is polled at once, and that answer decides. The end of a worker that really ended is found one poll later by this way; lists and polls, which find it mostly, are as fast as before.

--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -45,11 +45,10 @@
 	return ok && sent.Before(w.restartedAt)
 }
 
-// incarnationMismatch handles an order that found another incarnation at its worker's address.
-func (s *State) incarnationMismatch(id mothferry.WorkerID, sent, now time.Time) {
-	if !s.sentBeforeRestart(id, sent) {
-		s.workerEnded(id, IncarnationEndUnknown, now, now)
-	}
+// answersAs reports whether an answer to a poll that was sent to an earlier incarnation, or to a
+// former address, is certain to come from the newest known incarnation or a newer one.
+func (w *worker) answersAs(startedAt mothferry.IncarnationStart) bool {
+	return w.newestStartedAt() != 0 && startedAt >= w.newestStartedAt()
 }
 
 // acceptIncarnation records which incarnation has answered a poll. It reports whether that is
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -14,8 +14,8 @@
 	if !ok {
 		return
 	}
-	poll := w.closePoll(e.Number)
-	if !s.acceptIncarnation(w, e.Report, now) {
+	poll, current := w.closePoll(e.Number)
+	if !current && !w.answersAs(e.Report.StartedAt) || !s.acceptIncarnation(w, e.Report, now) {
 		return
 	}
 	w.nextPoll = w.pollSent.Add(minPollInterval)
@@ -63,8 +63,7 @@
 	if !ok {
 		return
 	}
-	w.closePoll(e.Number)
-	if s.sentBeforeRestart(e.Worker, e.Sent) {
+	if _, current := w.closePoll(e.Number); !current {
 		return
 	}
 	if e.Result == ResultIncarnationEnded {
@@ -335,8 +334,7 @@
 // startAnswered handles the answer to a start order.
 func (s *State) startAnswered(e StartAnswered, now time.Time) {
 	if e.Result == ResultIncarnationEnded {
-		s.incarnationMismatch(e.Worker, e.Sent, now)
-		return
+		s.incarnationMismatch(e.Worker, now)
 	}
 	t := s.lookUpAt(e.Task, e.Worker)
 	if t == nil || t.run != e.Run || t.worker == nil || t.worker.at.Worker != e.Worker {
@@ -355,10 +353,14 @@
 			s.recordSpeedStart(t, e.Clock)
 		}
 	case ResultUnknown:
-		if t.startsPending--; t.phase == phaseSent && t.startsPending <= 0 {
+		if t.startsPending--; t.phase == phaseSent && t.startsInFlight() <= 0 {
 			t.phase = phaseUnresolved
 			s.resendStop(t, now)
 		}
+	case ResultIncarnationEnded:
+		if t.phase == phaseSent && t.startsInFlight() <= 0 {
+			t.phase = phaseUnresolved
+		}
 	case ResultRefused:
 		s.startRefused(t, e.Refusal, now)
 	}
@@ -390,7 +392,7 @@
 // stopAnswered handles the answer to a stop order.
 func (s *State) stopAnswered(e StopAnswered, now time.Time) {
 	if e.Result == ResultIncarnationEnded {
-		s.incarnationMismatch(e.Worker, e.Sent, now)
+		s.incarnationMismatch(e.Worker, now)
 		return
 	}
 	t := s.lookUpAt(e.Task, e.Worker)
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -59,8 +59,8 @@
 	copyTask, copyOf *task
 	copies           int
 	// startsSent counts the start orders sent for the run, startsPending those whose calls
-	// have not ended, startsAnswered those that were answered; lastStartSent is when the last
-	// one was sent.
+	// have not ended without an answer, startsAnswered those that were answered; lastStartSent
+	// is when the last one was sent.
 	startsSent, startsPending, startsAnswered int
 	lastStartSent                             time.Time
 	// relay, startResult and startAnsweredAt tell of the last answer to a start of the run, former
@@ -127,6 +127,9 @@
 // assigned reports whether a run of the task is, or may be, on a worker.
 func (t *task) assigned() bool { return t.worker != nil }
 
+// startsInFlight returns how many calls that order the start of the run have not ended.
+func (t *task) startsInFlight() int { return t.startsPending - t.startsAnswered }
+
 // step is one step of one occurrence.
 type step struct {
 	name      StepName
@@ -239,7 +242,9 @@
 	// sortedWorkers holds the same workers ordered by id, so that the same events always
 	// produce the same commands in the same order.
 	sortedWorkers []*worker
-	toEvacuate    map[mothferry.WorkerID]bool
+	// former holds the workers that were removed lately.
+	former     map[mothferry.WorkerID]formerWorker
+	toEvacuate map[mothferry.WorkerID]bool
 	// accounts holds the client accounts that a config or a job has named.
 	accounts map[mothferry.AccountID]*account
 	// unresolvedEnds holds the runs of incarnations that ended for a cause that is not known
@@ -329,6 +334,7 @@
 		Limits: limits, Epoch: epoch, PriorLeaseEnd: priorLeaseEnd, lastCommit: takenOver,
 		queues: map[mothferry.QueueID]Queue{},
 		jobs:   map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, upcoming: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
+		former:         map[mothferry.WorkerID]formerWorker{},
 		toEvacuate:     map[mothferry.WorkerID]bool{},
 		unresolvedEnds: map[mothferry.WorkerID]unresolvedEnd{},
 		accounts:       map[mothferry.AccountID]*account{},
@@ -363,7 +369,7 @@
 	case WorkerListed:
 		s.workerListed(v.Worker, now)
 	case WorkerUnlisted:
-		s.workerUnlisted(v.Worker)
+		s.workerUnlisted(v.Worker, now)
 	case IncarnationEnded:
 		s.workerEnded(v.Worker, v.Cause, v.ListedAt, now)
 	case FleetCapacityReported:
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -29,6 +29,7 @@
 		s.evacuate(now)
 		s.logUnavailableTasks(now)
 		s.expireUnresolved(now)
+		s.expireFormer(now)
 		s.deleteSubmissions(now)
 		s.deleteJobs(now)
 		s.deleteEarlyCancels(now)
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -177,6 +177,7 @@
 	w, ok := s.workers[l.At.Worker]
 	if !ok {
 		w = s.addWorker(l.At.Worker)
+		s.returned(w, now)
 	}
 	if !w.acceptListing(l.StartedAt, now, s.Limits) {
 		return
@@ -188,10 +189,14 @@
 	if l.Draining && !w.Draining {
 		s.emit(Decision{Message: "worker drains", Worker: l.At.Worker})
 	}
+	if w.at.Address != "" && w.at.Address != l.At.Address {
+		// Answers to polls of the former address say nothing about the worker.
+		w.openPolls, w.nextPoll = nil, now
+	}
 	w.Worker, w.at, w.listed = l, l.At, true
 }
 
-func (s *State) workerUnlisted(id mothferry.WorkerID) {
+func (s *State) workerUnlisted(id mothferry.WorkerID, now time.Time) {
 	w, ok := s.workers[id]
 	if !ok {
 		return
@@ -199,7 +204,7 @@
 	w.listed = false
 	s.emit(Decision{Message: "worker is no longer listed", Worker: id, Fields: map[string]any{"tasks": len(w.tasks)}})
 	if len(w.tasks) == 0 && w.at.Address == "" {
-		s.removeWorker(w)
+		s.removeWorker(w, now)
 	}
 }
 
@@ -223,7 +228,7 @@
 		s.requeue(t, releasedLifeEnded, now)
 		s.delayRestart(t, now)
 	}
-	s.removeWorker(w)
+	s.removeWorker(w, now)
 	s.failJobsOf(toFail, now)
 }
 
@@ -316,7 +321,7 @@
 		s.poll(w, now)
 	}
 	for _, w := range unlisted {
-		s.removeWorker(w)
+		s.removeWorker(w, now)
 	}
 }
 
@@ -325,7 +330,8 @@
 func (s *State) unknownService(w *worker) bool { return s.services != nil && !s.services[w.Service] }
 
 // removeWorker removes an incarnation that has ended, or is neither listed nor has work.
-func (s *State) removeWorker(w *worker) {
+func (s *State) removeWorker(w *worker, now time.Time) {
+	s.former[w.at.Worker] = formerWorker{removedAt: now}
 	delete(s.workers, w.at.Worker)
 	if at, found := slices.BinarySearchFunc(s.sortedWorkers, w.at.Worker, byID); found {
 		s.sortedWorkers = slices.Delete(s.sortedWorkers, at, at+1)
@@ -372,16 +378,17 @@
 	s.emit(Poll{At: w.at, Number: s.pollCount, Order: order})
 }
 
-// closePoll removes a poll that has ended and returns it; number zero stands for the oldest.
-func (w *worker) closePoll(number int) openPoll {
+// closePoll removes a poll that has ended and returns it; number zero stands for the oldest. It
+// reports whether the poll was sent to the incarnation and the address known now.
+func (w *worker) closePoll(number int) (openPoll, bool) {
 	at := slices.IndexFunc(w.openPolls, func(p openPoll) bool { return p.number == number })
 	if number == 0 && len(w.openPolls) > 0 {
 		at = 0
 	}
 	if at < 0 {
-		return openPoll{}
+		return openPoll{}, number == 0
 	}
 	poll := w.openPolls[at]
 	w.openPolls = slices.Delete(w.openPolls, at, at+1)
-	return poll
+	return poll, true
 }
