mfduty: a worker is lost only if no machine can have it

A caller could see a job's tasks run twice, or be started again after they had ended: all tasks of a worker were free a second after it had stopped answering (or had not answered a new owner yet), whatever its lease, if no list of machines named it meanwhile. Absence is no proof. A machine may be listed as up without a worker, in a state that is not known, or be missing from a list; the worker goes on there, and its ends are noted once it answers again.

A worker that no list names now counts as ended if two lists, requested a second apart, account for each machine known so far: with another worker, or in a state without one. A list that leaves a machine open shows nothing, and the lease decides. A machine that no list has named for 10 s counts as removed. The second is measured between the requests of the lists, as an answer may come long after it was composed. After a takeover the tasks of a worker whose machine is down, or has another worker, start as soon as before; those of a worker whose machine was taken away wait for the lease.

TestMissingFromListsIsNoEnd and TestUnlistedIncarnationMayBeOnUnaccountedMachine fail without the change. The end of TestRespondingWorkerIsNotLost asked for what was wrong: that a worker which is listed, then unresponsive, ends because two lists are empty. It now asks for the end where the list shows it, and for that of a worker that no machine can have.

--- a/mfduty/incarnation.go
+++ b/mfduty/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,17 +10,26 @@
 	"mothferry/mfsched"
 )
 
-// missingTimeout is how long an incarnation must be missing from the machine list to count as
-// ended, and a machine to count as removed: the list is read several times by then, so that an
-// incarnation that started just after one read is not taken for a missing one.
-const missingTimeout = time.Second
+const (
+	// missingTimeout is how long an incarnation must be missing from the machine list to count as
+	// ended: the list is read several times by then, so that an incarnation that started just
+	// after one read is not taken for a missing one.
+	missingTimeout = time.Second
+	// removedTimeout is how long a machine must be missing from the machine list to count as
+	// removed: by then leases on it have expired.
+	removedTimeout = 10 * time.Second
+)
 
 // IncarnationTracker tracks which incarnation of a worker each machine runs. The platform's
 // machine list shows within a tenth of a second that a machine is down and has no worker,
 // whereas a lease takes four to five seconds to expire: tasks restart on other workers that
 // much sooner. A worker that is only partitioned stays in the list.
 type IncarnationTracker struct {
-	current      map[mothferry.MachineID]incarnation
+	current map[mothferry.MachineID]incarnation
+	// listedAt is when the last list was requested that had a machine.
+	listedAt map[mothferry.MachineID]time.Time
+	// missingSince is when the first list was requested that accounted for all machines without
+	// a worker, and since when no list has had it.
 	missingSince map[mothferry.WorkerID]time.Time
 }
 
@@ -40,12 +50,13 @@
 	}
 }
 
-// Ended records a machine list and returns the incarnations that have ended: their machine has
-// another one, or has none and is not up, or no machine lists them. The end was planned if the
-// machine moves, is in another pool, or is under maintenance.
-func (t *IncarnationTracker) Ended(machines []mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []mfsched.IncarnationEnded {
+// Ended records a machine list that was requested at requestedAt and returns the incarnations that
+// have ended: their machine has another one, or has none and is not up, or no machine can have
+// them. The end was planned if the machine moves, is in another pool, or is under maintenance.
+func (t *IncarnationTracker) Ended(machines []mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, requestedAt time.Time) []mfsched.IncarnationEnded {
 	if t.current == nil {
 		t.current, t.missingSince = map[mothferry.MachineID]incarnation{}, map[mothferry.WorkerID]time.Time{}
+		t.listedAt = map[mothferry.MachineID]time.Time{}
 	}
 	var ended []mfsched.IncarnationEnded
 	present := map[mothferry.WorkerID]bool{}
@@ -60,7 +71,28 @@
 		}
 		t.current[m.Machine] = incarnation{worker: m.Worker, pool: m.Pool}
 	}
-	return append(ended, t.lost(present, loads, now)...)
+	allAccounted := t.accountsForAll(machines, requestedAt)
+	return append(ended, t.lost(present, loads, allAccounted, requestedAt)...)
+}
+
+// accountsForAll reports whether each known machine is in a list, with a worker or in a state
+// without one, so that a worker which isn't in the list runs on none of them. A machine that was
+// removed is not known any more.
+func (t *IncarnationTracker) accountsForAll(machines []mothferry.Machine, requestedAt time.Time) bool {
+	all := len(machines) > 0
+	for _, m := range machines {
+		t.listedAt[m.Machine] = requestedAt
+		all = all && (m.Worker != "" || withoutWorker(m.State))
+	}
+	for id, at := range t.listedAt {
+		switch missing := requestedAt.Sub(at); {
+		case missing >= removedTimeout:
+			delete(t.listedAt, id)
+		case missing > 0:
+			all = false
+		}
+	}
+	return all
 }
 
 // withoutWorker reports whether machines in a state have no worker.
@@ -68,9 +100,14 @@
 	return s == mothferry.MachineDown || s == mothferry.MachineMoving || s == mothferry.MachineMaintenance
 }
 
-// lost returns the incarnations with tasks that no machine has listed for missingTimeout and
-// that are unresponsive: a new owner knows them only from what the previous owner stored.
-func (t *IncarnationTracker) lost(present map[mothferry.WorkerID]bool, loads map[mothferry.WorkerID]mfsched.Load, now time.Time) []mfsched.IncarnationEnded {
+// lost returns the incarnations with tasks that are unresponsive and that no machine can have, by
+// lists requested missingTimeout apart that account for all machines: a new owner knows them only
+// from what the previous owner stored. A list that leaves a machine open shows nothing.
+func (t *IncarnationTracker) lost(present map[mothferry.WorkerID]bool, loads map[mothferry.WorkerID]mfsched.Load, allAccounted bool, requestedAt time.Time) []mfsched.IncarnationEnded {
+	maps.DeleteFunc(t.missingSince, func(id mothferry.WorkerID, _ time.Time) bool {
+		_, known := loads[id]
+		return !known
+	})
 	var ended []mfsched.IncarnationEnded
 	for id, load := range loads {
 		responsive := load.Known && !load.Unresponsive
@@ -78,11 +115,14 @@
 			delete(t.missingSince, id)
 			continue
 		}
+		if !allAccounted {
+			continue
+		}
 		since, known := t.missingSince[id]
 		switch {
 		case !known:
-			t.missingSince[id] = now
-		case now.Sub(since) >= missingTimeout:
+			t.missingSince[id] = requestedAt
+		case requestedAt.Sub(since) >= missingTimeout:
 			delete(t.missingSince, id)
 			ended = append(ended, mfsched.IncarnationEnded{Worker: id, Cause: mfsched.IncarnationEndUnknown})
 		}
--- a/mfduty/incarnation_test.go
+++ b/mfduty/incarnation_test.go
@@ -62,13 +62,88 @@
 // because it is missing from the machine list for a second.
 func TestRespondingWorkerIsNotLost(t *testing.T) {
 	var tracker mfduty.IncarnationTracker
-	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 2, Known: true}}
-	lists := [][]mothferry.Machine{{up("m-1", "")}, {}}
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-0": {Tasks: 2, Known: true}, "w-1": {Tasks: 2, Known: true}}
+	lists := [][]mothferry.Machine{{up("m-1", "")}, {}, {up("m-1", "w-2")}}
 	assert.Equal(t, len(tracker.Ended([]mothferry.Machine{up("m-1", "w-1")}, loads, start)), 0)
-	for d := time.Duration(0); d < 3*time.Second; d += 200 * time.Millisecond {
+	for d := time.Duration(0); d < 2*time.Second; d += 200 * time.Millisecond {
 		assert.Equal(t, len(tracker.Ended(lists[int(d/time.Second)%2], loads, start.Add(d))), 0, "after %v", d)
 	}
-	loads["w-1"] = mfsched.Load{Tasks: 2, Known: true, Unresponsive: true}
-	assert.Equal(t, len(tracker.Ended(nil, loads, start.Add(3*time.Second))), 0)
-	assert.DeepEqual(t, tracker.Ended(nil, loads, start.Add(4*time.Second)), []mfsched.IncarnationEnded{{Worker: "w-1", Cause: mfsched.IncarnationEndUnknown}})
+	assert.DeepEqual(t, tracker.Ended(lists[2], loads, start.Add(2*time.Second)), []mfsched.IncarnationEnded{{Worker: "w-1", Cause: mfsched.IncarnationCrashed}})
+	delete(loads, "w-1")
+	for d := 2 * time.Second; d < 5*time.Second; d += 200 * time.Millisecond {
+		assert.Equal(t, len(tracker.Ended(lists[2], loads, start.Add(d))), 0, "after %v", d)
+	}
+	loads["w-0"] = mfsched.Load{Tasks: 2, Known: true, Unresponsive: true}
+	assert.Equal(t, len(tracker.Ended(lists[2], loads, start.Add(5*time.Second))), 0)
+	assert.DeepEqual(t, tracker.Ended(lists[2], loads, start.Add(6*time.Second)), []mfsched.IncarnationEnded{{Worker: "w-0", Cause: mfsched.IncarnationEndUnknown}})
+}
+
+// TestMissingFromListsIsNoEnd guards against runs that are started twice: a worker that did not
+// answer counted as ended, whatever its lease, as soon as no list had named it for a second. Its
+// machine may be listed without a worker for a moment, or be missing from a list.
+func TestMissingFromListsIsNoEnd(t *testing.T) {
+	unknown := mothferry.Machine{Machine: "m-1", State: mothferry.MachineUnknown}
+	lists := map[string][]mothferry.Machine{
+		"its machine is up without a worker": {up("m-1", ""), up("m-2", "w-2")},
+		"its machine's state is not known":   {unknown, up("m-2", "w-2")},
+		"its machine is missing":             {up("m-2", "w-2")},
+		"the list is empty":                  nil,
+	}
+	for name, list := range lists {
+		for _, load := range []mfsched.Load{{Tasks: 2, Known: true, Unresponsive: true}, {Tasks: 2}} {
+			t.Run(name, func(t *testing.T) {
+				var tracker mfduty.IncarnationTracker
+				loads := map[mothferry.WorkerID]mfsched.Load{"w-1": load}
+				first := []mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}
+				assert.Equal(t, len(tracker.Ended(first, loads, start)), 0)
+				for d := time.Duration(0); d < 5*time.Second; d += 200 * time.Millisecond {
+					assert.Equal(t, len(tracker.Ended(list, loads, start.Add(d))), 0, "after %v", d)
+				}
+				assert.Equal(t, len(tracker.Ended(first, loads, start.Add(5*time.Second))), 0)
+				assert.DeepEqual(t, tracker.Ended([]mothferry.Machine{down("m-1"), up("m-2", "w-2")}, loads, start.Add(6*time.Second)),
+					[]mfsched.IncarnationEnded{{Worker: "w-1", Cause: mfsched.IncarnationCrashed}})
+			})
+		}
+	}
+}
+
+// TestUnlistedIncarnationMayBeOnUnaccountedMachine checks that a worker that no list has named
+// counts as ended only once each machine has another worker or a state without one.
+func TestUnlistedIncarnationMayBeOnUnaccountedMachine(t *testing.T) {
+	var tracker mfduty.IncarnationTracker
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 2}}
+	for d := time.Duration(0); d < 3*time.Second; d += 200 * time.Millisecond {
+		assert.Equal(t, len(tracker.Ended([]mothferry.Machine{up("m-1", ""), up("m-2", "w-2")}, loads, start.Add(d))), 0, "after %v", d)
+	}
+	accounted := []mothferry.Machine{down("m-1"), up("m-2", "w-2")}
+	assert.Equal(t, len(tracker.Ended(accounted, loads, start.Add(3*time.Second))), 0)
+	assert.DeepEqual(t, tracker.Ended(accounted, loads, start.Add(4*time.Second)), []mfsched.IncarnationEnded{{Worker: "w-1", Cause: mfsched.IncarnationEndUnknown}})
+}
+
+// TestRemovedMachineDoesNotDelayEnds checks that a machine that was taken away does not keep
+// unlisted workers from counting as ended for good.
+func TestRemovedMachineDoesNotDelayEnds(t *testing.T) {
+	var tracker mfduty.IncarnationTracker
+	assert.Equal(t, len(tracker.Ended([]mothferry.Machine{up("m-1", "w-1"), up("m-2", "w-2")}, nil, start)), 0)
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-3": {Tasks: 2}}
+	remaining := []mothferry.Machine{up("m-2", "w-2")}
+	var ended []mfsched.IncarnationEnded
+	for d := time.Duration(0); d < 15*time.Second; d += 200 * time.Millisecond {
+		if now := tracker.Ended(remaining, loads, start.Add(d)); len(now) > 0 {
+			ended = append(ended, now...)
+			loads = nil
+		}
+	}
+	assert.DeepEqual(t, ended, []mfsched.IncarnationEnded{{Worker: "w-3", Cause: mfsched.IncarnationEndUnknown}})
+}
+
+// TestMissingTimeStartsAnew checks that a worker that was removed and added again is not missing
+// since before.
+func TestMissingTimeStartsAnew(t *testing.T) {
+	var tracker mfduty.IncarnationTracker
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 2}}
+	machines := []mothferry.Machine{up("m-1", "w-2")}
+	assert.Equal(t, len(tracker.Ended(machines, loads, start)), 0)
+	assert.Equal(t, len(tracker.Ended(machines, nil, start.Add(200*time.Millisecond))), 0)
+	assert.Equal(t, len(tracker.Ended(machines, loads, start.Add(2*time.Second))), 0)
 }
--- a/mfowner/machines.go
+++ b/mfowner/machines.go
@@ -99,7 +99,7 @@
 	s.machines.maxCapacity = maxCapacityOf(machines)
 	s.step(mfsched.FleetCapacityReported{Cores: totalCores(machines)})
 	loads := s.state.Loads()
-	ended := s.machines.incarnations.Ended(machines, loads, now)
+	ended := s.machines.incarnations.Ended(machines, loads, requested)
 	for _, e := range ended {
 		e.ListedAt = requested
 		s.step(e)
