mfsched: the longest worker id is that of a worker that may have tasks

An entry of another writer under a key of 200 bytes made the owner publish 200 as the length of the longest id, for the time of its ownership: hosts refused jobs whose progress fits a row, and jobs with many tasks counted each as that much larger.

The length was recorded for each listed worker. Tasks are placed only on workers that have answered, or are there from a previous owner: it is recorded for these.

TestEntryWithoutWorkerLeavesRowsTheirRoom failed before.

--- a/mfrecord/record.go
+++ b/mfrecord/record.go
@@ -155,8 +155,8 @@
 	// MaxCapacity is the maximum of each resource over all machines; zero while the owner has
 	// not listed machines.
 	MaxCapacity mothferry.Resources
-	// LongestWorkerID is the length of the longest id of a worker, as stored; zero while the owner
-	// has listed no workers.
+	// LongestWorkerID is the length of the longest id of a worker, as stored; zero while no worker
+	// has answered the owner.
 	LongestWorkerID int
 	// CallAges holds the machines for which this owner or the previous one may recently have
 	// called the platform, and how long before this commit; negative for calls that may still
--- a/mfsched/copy.go
+++ b/mfsched/copy.go
@@ -67,6 +67,7 @@
 
 // workerOrPlaceholder returns a worker that a previous owner stored, adding it if it isn't known.
 func (s *State) workerOrPlaceholder(id mothferry.WorkerID) *worker {
+	s.recordWorkerID(id)
 	if w, ok := s.workers[id]; ok {
 		return w
 	}
--- a/mfsched/foreign_entry_test.go
+++ b/mfsched/foreign_entry_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"mothferry"
+	"mothferry/mfjob"
 	"mothferry/mfsched"
 )
 
@@ -58,3 +60,11 @@
 		assert.Assert(t, share.Rate <= 640 && share.Wait > 10*time.Second, "%v: %+v", flow, share)
 	}
 }
+
+// Guards against jobs that are refused because their progress does not fit a row: it was taken to
+// name a worker by the long key of an entry that no worker wrote.
+func TestEntryWithoutWorkerLeavesRowsTheirRoom(t *testing.T) {
+	foreign := worker(mothferry.WorkerID(strings.Repeat("x", 200)))
+	s := besideForeignEntry(t, foreign)
+	assert.Equal(t, s.state.LongestWorkerID(), mfjob.TextSize("w-00"))
+}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -55,6 +55,7 @@
 		s.runMissing(w, t, e.Sent, now)
 	}
 	w.fenced = true
+	s.recordWorkerID(e.Worker)
 	s.adjustPace(w, now)
 }
 
--- a/mfsched/rowsize.go
+++ b/mfsched/rowsize.go
@@ -63,9 +63,11 @@
 	return size + occurrences*(mfjob.OccurrenceSize+mfjob.StepSize*len(j.submission.Steps))
 }
 
-// LongestWorkerID returns the length of the longest id of a worker, as stored.
+// LongestWorkerID returns the length of the longest id of a worker that may have tasks, as stored.
 func (s *State) LongestWorkerID() int { return s.longestWorkerID }
 
+// recordWorkerID records the id of a worker that may have tasks: one that has answered, or that a
+// previous owner stored. An entry that no worker wrote would limit how many tasks jobs may have.
 func (s *State) recordWorkerID(id mothferry.WorkerID) {
 	if size := mfjob.TextSize(string(id)); size > s.longestWorkerID {
 		s.longestWorkerID, s.maxTaskSize = size, mfjob.MaxTaskSize(size)
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -165,7 +165,6 @@
 	w := &worker{at: mothferry.WorkerAddress{Worker: id}, orphans: map[runID]orphanStop{}}
 	w.priorLeaseEnd = s.PriorLeaseEnd
 	s.workers[id] = w
-	s.recordWorkerID(id)
 	at, _ := slices.BinarySearchFunc(s.sortedWorkers, id, byID)
 	s.sortedWorkers = slices.Insert(s.sortedWorkers, at, w)
 	return w
