mfsched: the load of a shard shows only services of the config

Each service that an entry of another writer names became a field of the line "shard activity", which grew with such entries; a service named "epoch" or "jobs" replaced that field. Workers of services that the config lacks are not polled and get no work, and are now left out.

TestGaugeHasOnlyServicesOfTheConfig failed before.

--- a/mfsched/foreign_entry_test.go
+++ b/mfsched/foreign_entry_test.go
@@ -68,3 +68,13 @@
 	s := besideForeignEntry(t, foreign)
 	assert.Equal(t, s.state.LongestWorkerID(), mfjob.TextSize("w-00"))
 }
+
+// Guards against a log line with a field for each service that foreign entries name, in the place
+// of the line's own fields.
+func TestGaugeHasOnlyServicesOfTheConfig(t *testing.T) {
+	foreign := worker("x")
+	foreign.Service = "epoch"
+	pools := besideForeignEntry(t, foreign).state.Gauge(startTime).Pools
+	assert.Equal(t, len(pools), 1)
+	assert.Equal(t, pools[service].Listed, 40)
+}
--- a/mfsched/gauge.go
+++ b/mfsched/gauge.go
@@ -41,7 +41,7 @@
 	g := Gauge{Live: len(s.live), Dirty: len(s.dirty), Advice: s.advice.gauge(now), Pools: map[mothferry.ServiceID]PoolGauge{}}
 	capacity, used := map[mothferry.ServiceID]mothferry.Resources{}, map[mothferry.ServiceID]mothferry.Resources{}
 	for _, w := range s.sortedWorkers {
-		if !w.listed {
+		if !w.listed || s.unknownService(w) {
 			continue
 		}
 		p := g.Pools[w.Service]
