mfsched: an entry's start is replaced by a later entry's

After an entry of another writer under a worker's id with a start in the future, the worker's own entries and answers counted as those of a previous incarnation: it got no work until the next owner, or never if the entry came first, and its leases were no longer seen to be extended.

The newest start was the largest that any entry had named. The rows of one key come in the order in which they were written, so the last one holds: an entry that is older than the entry before is accepted like the entry of a new incarnation, and polled, unless an answer has shown a newer one. A late write of a previous incarnation is corrected by the next answer, as one that comes before the first answer always was.

TestEntryFromTheFutureIsReplacedByTheWorkersOwn failed before.

--- a/mfsched/foreign_entry_test.go
+++ b/mfsched/foreign_entry_test.go
@@ -78,3 +78,48 @@
 	assert.Equal(t, len(pools), 1)
 	assert.Equal(t, pools[service].Listed, 40)
 }
+
+// Guards against a worker that gets no work any more, and whose runs start again elsewhere, after
+// another writer left an entry under its id that started in the future: its own entries and
+// answers were taken for those of a previous incarnation.
+func TestEntryFromTheFutureIsReplacedByTheWorkersOwn(t *testing.T) {
+	const future mothferry.IncarnationStart = 253_402_300_799_999
+	t.Run("before the first answer", func(t *testing.T) {
+		s := newScript(t)
+		s.listIncarnation("w", future)
+		s.advance(10 * time.Millisecond)
+		s.listIncarnation("w", firstIncarnation)
+		s.advance(20 * time.Millisecond)
+		s.answerAs("w", firstIncarnation, mothferry.PollReport{})
+		s.submit("j", 1)
+		assert.Equal(t, len(s.acceptStarts(100*time.Millisecond)), 1)
+	})
+	t.Run("while a task runs", func(t *testing.T) {
+		s, starts := runningInFirstIncarnation(t, 1)
+		s.answerStart(starts[0], mfsched.ResultDone, "")
+		s.answerAs("w", firstIncarnation, mothferry.PollReport{Running: runningOf(starts)})
+		s.addReadyWorker("w-2")
+		s.listIncarnation("w", future)
+		for range 10 {
+			s.advance(100 * time.Millisecond)
+			for _, p := range takeCommands[mfsched.Poll](s) {
+				if p.At.Worker != "w" {
+					s.step(mfsched.PollAnswered{Worker: p.At.Worker, Number: p.Number, Sent: s.now, Report: mothferry.PollReport{Clock: mothferry.WorkerClock(s.now.Sub(startTime))}})
+					continue
+				}
+				s.step(mfsched.PollAnswered{Worker: "w", Number: p.Number, Sent: s.now, Report: mothferry.PollReport{
+					StartedAt: firstIncarnation, Clock: mothferry.WorkerClock(s.now.Sub(startTime) + time.Hour), Running: runningOf(starts),
+				}})
+			}
+		}
+		s.listIncarnation("w", firstIncarnation)
+		s.advance(20 * time.Millisecond)
+		s.answerAs("w", firstIncarnation, mothferry.PollReport{Running: runningOf(starts)})
+		assert.Equal(t, len(takeCommands[mfsched.Start](s)), 0, "its run goes on")
+		s.step(mfsched.WorkersToEvacuate{Workers: map[mothferry.WorkerID]bool{"w-2": true}})
+		s.submit("k", 1)
+		again := s.acceptStarts(100 * time.Millisecond)
+		assert.Equal(t, len(again), 1)
+		assert.Equal(t, again[0].At.Worker, mothferry.WorkerID("w"))
+	})
+}
--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -20,11 +20,15 @@
 // acceptListing reports whether a worker's entry is of the newest known incarnation, or of a
 // newer one. A newer one is polled at once: only its answer shows what it runs, since orders
 // meant for the previous incarnation may have reached it already.
+//
+// An entry that is older than the one before, and not than what has answered, is accepted as a
+// newer one is: another writer may have left a start in the future, after which the worker's own
+// entries and answers would count as those of a previous incarnation for good.
 func (w *worker) acceptListing(startedAt mothferry.IncarnationStart, now time.Time, l Limits) bool {
 	if startedAt == 0 || w.newestStartedAt() == 0 || startedAt == w.newestStartedAt() {
 		return true
 	}
-	if startedAt < w.newestStartedAt() {
+	if startedAt < w.startedAt {
 		return false
 	}
 	w.fenced, w.openPolls, w.nextPoll = false, nil, now
