mffeed: read the table again when its changes exceed one reply

After another writer had left a hundred entries as long as a row may be within a heartbeat, the owner followed the list of workers no longer: no worker that started was used, none that drained or left was noticed.

The feed has no pages. A reply of more than 4 MiB is refused by the client, which counted as a call without an answer and was repeated from the same version, for good or until the store dropped its history. Such a reply has an error of its own now, after which the table is read in pages, as after a loss of history.

--- a/errors.go
+++ b/errors.go
@@ -32,6 +32,17 @@
 	return fmt.Sprintf("platform's reply to %s is malformed: %s", e.Operation, e.Detail)
 }
 
+// ErrReplyTooLarge reports a reply of the platform that is longer than this host reads: the same
+// call would have it again. It is the cause of an ErrUnavailable, as the call was executed.
+type ErrReplyTooLarge struct {
+	Operation string
+}
+
+// Error implements error.
+func (e *ErrReplyTooLarge) Error() string {
+	return fmt.Sprintf("platform's reply to %s is too large", e.Operation)
+}
+
 // ErrConflict reports that checks of a transaction did not hold. Rows
 // holds the current rows; a row with version 0 is absent.
 type ErrConflict struct {
--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -1,7 +1,8 @@
 // Package mffeed follows a table of a row store: it reads the table once, then takes its
 // changes in order.
 //
-// These failures are handled: the store has dropped its history (the table is read again); a
+// These failures are handled: the store has dropped its history, or its changes are too long for
+// one reply (the table is read again, in pages); a
 // connection goes silent for good (each wait has its own timeout, after which another
 // connection is used); the store is down (retries have delays and jitter, so that hosts don't
 // return all at once).
@@ -74,6 +75,12 @@
 			delay = minRetryDelay
 			continue
 		}
+		var tooLarge *errChangesTooLarge
+		if errors.As(err, &tooLarge) {
+			f.Log.WithField("table", f.Table).WithField("after", tooLarge.after).Info("too many changes for one reply, reading table again")
+			delay = minRetryDelay
+			continue
+		}
 		if ctx.Err() != nil {
 			break
 		}
@@ -154,6 +161,19 @@
 	}
 }
 
+// errChangesTooLarge reports that the changes after a version are too long for one reply. The feed
+// has no pages: only the table can be read in parts.
+type errChangesTooLarge struct {
+	after mothferry.Version
+	err   error
+}
+
+// Error implements error.
+func (e *errChangesTooLarge) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *errChangesTooLarge) Unwrap() error { return e.err }
+
 // changes returns what changed after a version, and when it asked. It retries a call without an
 // answer: a connection that went silent does not mean that the store is down, and the table
 // need not be read again.
@@ -170,6 +190,10 @@
 		if errors.As(err, &historyGone) || ctx.Err() != nil {
 			return page, asked, err
 		}
+		var tooLarge *mothferry.ErrReplyTooLarge
+		if errors.As(err, &tooLarge) {
+			return page, asked, &errChangesTooLarge{after: version, err: err}
+		}
 		f.failures.Failed(err, "store does not answer for table "+string(f.Table))
 		if !mfclock.Sleep(ctx, f.Clock, f.jitter(delay)) {
 			return page, asked, ctx.Err()
