mfrelay: a link that ends is reset

An owner ends the link to a relay that it hasn't heard for 0.45 s, and counts its orders as unknown. The connection was closed normally, so that during a network partition the kernel went on sending what was written to it: once the partition healed, the relay got starts and stops seconds after their owner had given up on them, and carried them out. A worker refuses them only if it knows of a stop, a newer epoch or the end of the lease; one that was started again under the same id knows of none.

Links now reset their connection when they end, as the connections to workers and the store do.

--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	resetOnClose(connection)
 	session, err := mfsession.Client(connection, sessionConfig())
 	if err != nil {
 		_ = connection.Close()
@@ -145,6 +146,16 @@
 	return stream, nil
 }
 
+// resetOnClose makes closing a connection reset it. What was written to a link during a network
+// partition would otherwise still arrive when the partition heals: orders that count as unknown by
+// then, or those of a previous owner.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// It fails only on a connection that is already closed.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
