mfsched: a refusal frees no task whose run was seen

A caller could see a task run twice: a poll showed its run, the answer to the start came later and was a refusal, and the task was free at once, whatever its phase, and started elsewhere. Only a start that had been sent again was guarded. A refusal is now believed if one start was sent and nothing else is known of the run; what polls report decides otherwise, and a run that a poll has shown goes on. Likewise a refusal because that run has ended there or was stopped, although no stop was sent, says that the order may have been carried out before: the run is stopped, and a later poll shows what became of it.

--- a/mfsched/loss.go
+++ b/mfsched/loss.go
@@ -159,10 +159,11 @@
 	s.sendStart(t, now)
 }
 
-// resentStartRefused handles the refusal of a run that had been ordered before. The earlier
-// order may have been carried out, or may be later, and its end may not be seen yet: the run
-// is stopped, and a later poll shows what became of it.
-func (s *State) resentStartRefused(t *task, why mothferry.OrderRefusal, now time.Time) {
+// doubtfulRefusal handles the refusal of a run that had been ordered before, was reported, or is
+// said to have ended or to be stopped already. An order may have been carried out, or may be
+// later, and the run's end may not be seen yet: the run is stopped unless it was reported, and a
+// later poll shows what became of it.
+func (s *State) doubtfulRefusal(t *task, why mothferry.OrderRefusal, now time.Time) {
 	if t.phase != phaseSent {
 		return
 	}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -367,15 +367,16 @@
 	}
 }
 
-// startRefused requeues a task whose start was refused.
+// startRefused requeues a task whose start was refused, unless the refusal contradicts what is known
+// of the run.
 func (s *State) startRefused(t *task, why mothferry.OrderRefusal, now time.Time) {
 	w := t.worker
 	switch {
 	case why == mothferry.RefusalEpoch:
 		// Another owner has taken over; the next commit will show it.
 		return
-	case t.startsSent > 1:
-		s.resentStartRefused(t, why, now)
+	case t.startsSent != 1 || !t.confirmedAt.IsZero() || why == mothferry.RefusalRun && t.stopSentAt.IsZero():
+		s.doubtfulRefusal(t, why, now)
 		return
 	}
 	switch why {
