mfsched: no task starts while another run of it may be at work

A caller could see a task run twice: a run that its task's record does not know of, or that is not its task's any more, was ordered to stop as soon as a worker reported it, and meanwhile the task, which waited, or whose start was being stored, was started elsewhere. Only lasting tasks had a guard, and only in a worker's first answer to a new owner. Such a run was forgotten with its worker when that was no longer listed, and a run that had not been seen yet, by an answer to a poll that overtook the order to stop it; if the stop was lost the run began later.

Orphaned runs are counted by task. A task is not placed, a planned start is not sent, and an overdue one not sent again while there is one of the task, or of a member of its gang: members start together or not at all. An orphaned run counts as ended when its end is listed, when a poll sent after it was seen doesn't show it, when its incarnation has ended, or when its lease has certainly expired. One that was never seen counts until a poll that was sent after the stop was answered, and the stop is sent again until then. A worker with such runs is kept though it is not listed. Without orphaned runs nothing changes.

--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -87,6 +87,7 @@
 	}
 	ended := w.tasksWhere(func(t *task) bool { return t.phase != phasePlanned && !reported[runID{task: t.name, run: t.run}] })
 	toFail := s.attributeEnd(w, ended, IncarnationCrashed, now)
+	s.dropOrphans(w)
 	w.beginIncarnation(now, s.Limits)
 	delete(s.endsInCommit, w.at.Worker)
 	for _, t := range w.tasksWhere(func(t *task) bool { return t.phase != phasePlanned }) {
@@ -106,7 +107,7 @@
 	w.clock, w.clockReadAt, w.leaseUntil = 0, time.Time{}, 0
 	w.openPolls, w.answeredPollSent = nil, time.Time{}
 	w.lastEndSeen, w.lastEndStored = 0, 0
-	w.orphans, w.trial, w.expiredRuns = map[runID]orphanStop{}, nil, nil
+	w.trial, w.expiredRuns = nil, nil
 	w.pausedUntil, w.health, w.calmSince = time.Time{}, health{}, time.Time{}
 	w.speed, w.slowStatus, w.hangs = mfspeed.EndedRuns{}, mfstraggler.Status{}, mfdecay.Sum{}
 	w.hungJobs = nil
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -45,7 +45,7 @@
 			w.longestUnchanged = max(w.longestUnchanged, t.unchangedFor)
 		}
 	}
-	w.dropEndedOrphans(e.Report.Running, e.Sent)
+	s.dropEndedOrphans(w, e.Report, e.Sent, now)
 	if s.Limits.MaxEndsListed > 0 && len(e.Report.Ended) >= s.Limits.MaxEndsListed {
 		// The list may be cut off: tasks with further ends would be taken for missing.
 		w.nextPoll = now
@@ -88,11 +88,11 @@
 func (s *State) runReported(w *worker, r mothferry.RunningTask, place int, now time.Time) *task {
 	t := s.reportedTask(w, r, place)
 	if (t == nil || t.worker != w || t.run != r.Run) && !s.adoptRun(w, r, now) {
-		orphan := runID{task: r.Task, run: r.Run}
-		if _, known := w.orphans[orphan]; !known {
-			s.logOrphan(w, orphan)
+		id := runID{task: r.Task, run: r.Run}
+		if _, known := w.orphans[id]; !known {
+			s.logOrphan(w, id)
 		}
-		s.stopOrphan(w, orphan, now)
+		s.stopOrphan(w, id, now, now)
 		return nil
 	}
 	t.recordCheckpoint(r.Checkpoint, r.Percent)
@@ -156,35 +156,6 @@
 	}
 }
 
-// stopOrphan stops a run that should not be there: its job is finished, or its task is no
-// longer assigned to this worker. What it uses is known as long as the job's submission is.
-func (s *State) stopOrphan(w *worker, r runID, now time.Time) {
-	if now.Sub(w.orphans[r].sentAt) < stopRetryDelay {
-		return
-	}
-	stop := orphanStop{sentAt: now}
-	if j, known := s.jobs[r.task.Job]; known && r.task.Step < len(j.submission.Steps) {
-		spec := &j.submission.Steps[r.task.Step]
-		stop.reserved, stop.need, stop.account = spec.Reservation(), spec.Need, j.account
-	}
-	w.orphans[r] = stop
-	s.emit(Stop{At: w.at, Task: r.task, Run: r.run})
-}
-
-// logOrphan logs which run is stopped as an orphan, and what is known of its task instead.
-func (s *State) logOrphan(w *worker, r runID) {
-	d := Decision{Message: "run is not its task's, told to stop", Job: r.task.Job, Worker: w.at.Worker, Fields: map[string]any{
-		"occurrence": r.task.Occurrence, "step": r.task.Step, "index": r.task.Index, "run": r.run, "first_look": !w.fenced,
-	}}
-	if t := s.lookUp(r.task); t != nil {
-		d.Fields["known_run"], d.Fields["known_phase"], d.Fields["state"] = t.run, t.phase.String(), t.job.state
-		if t.worker != nil {
-			d.Fields["known_worker"] = t.worker.at.Worker
-		}
-	}
-	s.emit(d)
-}
-
 func (s *State) resendStop(t *task, now time.Time) {
 	if now.Sub(t.stopSentAt) >= stopRetryDelay {
 		t.stopSentAt = now
@@ -296,7 +267,11 @@
 	if t.worker == nil || t.worker == w || t.phase == phasePlanned {
 		return
 	}
-	s.stopOrphan(t.worker, runID{task: t.name, run: t.run}, now)
+	var seenAt time.Time
+	if !t.confirmedAt.IsZero() {
+		seenAt = now
+	}
+	s.stopOrphan(t.worker, runID{task: t.name, run: t.run}, seenAt, now)
 	t.worker.nextPoll = now
 }
 
@@ -397,6 +372,9 @@
 		s.incarnationMismatch(e.Worker, now)
 		return
 	}
+	if w, ok := s.workers[e.Worker]; ok && e.Result == ResultDone && !s.sentBeforeRestart(e.Worker, e.Sent) {
+		s.orphanStopAnswered(w, runID{task: e.Task, run: e.Run}, now)
+	}
 	t := s.lookUpAt(e.Task, e.Worker)
 	if t == nil || t.run != e.Run || t.worker == nil || t.worker.at.Worker != e.Worker {
 		return
--- a/mfsched/restartlog.go
+++ b/mfsched/restartlog.go
@@ -19,7 +19,7 @@
 	releasedLifeEnded      releaseReason = "worker_ended"
 	releasedLeaseExpired   releaseReason = "lease_expired"
 	releasedNotStored      releaseReason = "plan_not_stored"
-	releasedNotAdmitted    releaseReason = "account_at_limit"
+	releasedNotSent        releaseReason = "plan_not_sent"
 )
 
 const (
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -242,6 +242,8 @@
 	// sortedWorkers holds the same workers ordered by id, so that the same events always
 	// produce the same commands in the same order.
 	sortedWorkers []*worker
+	// orphaned counts the orphaned runs on all workers by their tasks.
+	orphaned map[mothferry.TaskName]int
 	// former holds the workers that were removed lately.
 	former     map[mothferry.WorkerID]formerWorker
 	toEvacuate map[mothferry.WorkerID]bool
@@ -334,6 +336,7 @@
 		Limits: limits, Epoch: epoch, PriorLeaseEnd: priorLeaseEnd, lastCommit: takenOver,
 		queues: map[mothferry.QueueID]Queue{},
 		jobs:   map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, upcoming: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
+		orphaned:       map[mothferry.TaskName]int{},
 		former:         map[mothferry.WorkerID]formerWorker{},
 		toEvacuate:     map[mothferry.WorkerID]bool{},
 		unresolvedEnds: map[mothferry.WorkerID]unresolvedEnd{},
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -47,12 +47,16 @@
 // expireLeases releases the tasks of workers whose leases have certainly expired.
 func (s *State) expireLeases(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if len(w.tasks) == 0 || !w.unresponsive && w.at.Address != "" && w.listed {
+		if len(w.tasks) == 0 && len(w.orphans) == 0 || !w.unresponsive && w.at.Address != "" && w.listed {
 			continue
 		}
 		if !s.leasesExpired(w, now) {
 			continue
 		}
+		s.dropOrphans(w)
+		if len(w.tasks) == 0 {
+			continue
+		}
 		s.emit(Decision{Message: "leases have lapsed", Worker: w.at.Worker, Fields: map[string]any{
 			"tasks": len(w.tasks), "unread_ms": now.Sub(w.clockReadAt).Milliseconds(), "sealed": w.fenced, "newest": w.newestRuns(),
 		}})
@@ -189,8 +193,8 @@
 			s.requeue(r.task, releasedNotStored, now)
 			continue
 		}
-		if !r.task.job.account.stillAdmits(r.task.step.spec.Need) {
-			s.requeue(r.task, releasedNotAdmitted, now)
+		if s.awaitsOrphan(r.task) || !r.task.job.account.stillAdmits(r.task.step.spec.Need) {
+			s.requeue(r.task, releasedNotSent, now)
 			continue
 		}
 		s.sendStart(r.task, now)
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -60,7 +60,7 @@
 	// whose effect is stored.
 	lastEndSeen, lastEndStored mothferry.EndNumber
 	// orphans holds the runs that should not be there and are not confirmed to have ended.
-	orphans map[runID]orphanStop
+	orphans map[runID]orphan
 
 	// trial is the task that was last tried here because it may crash its workers, expiredRuns
 	// holds the runs whose leases expired here since the worker last answered.
@@ -123,46 +123,10 @@
 	run  mothferry.RunNumber
 }
 
-// orphanStop is when an orphaned run was last ordered to stop, and the resources it uses.
-type orphanStop struct {
-	sentAt time.Time
-	// reserved is what it uses of its worker's capacity, need what it uses of its account's
-	// limit.
-	reserved, need mothferry.Resources
-	account        *account
-}
-
-// reserved returns the resources that tasks and orphaned runs use. Without the latter, a
-// worker that accepts more than fits would get more than its capacity.
-func (w *worker) reserved() mothferry.Resources {
-	sum := w.used
-	for _, r := range w.orphans {
-		sum = sum.Add(r.reserved)
-	}
-	return sum
-}
-
-// dropEndedOrphans removes the orphaned runs that are missing from the answer to a poll sent
-// after they had been ordered to stop.
-func (w *worker) dropEndedOrphans(running []mothferry.RunningTask, polledAt time.Time) {
-	if len(w.orphans) == 0 {
-		return
-	}
-	reported := map[runID]bool{}
-	for _, r := range running {
-		reported[runID{task: r.Task, run: r.Run}] = true
-	}
-	for r, stop := range w.orphans {
-		if !reported[r] && !stop.sentAt.After(polledAt) {
-			delete(w.orphans, r)
-		}
-	}
-}
-
 // addWorker adds a worker that is not known yet. It need not be listed if it has work from a
 // previous owner.
 func (s *State) addWorker(id mothferry.WorkerID) *worker {
-	w := &worker{at: mothferry.WorkerAddress{Worker: id}, orphans: map[runID]orphanStop{}}
+	w := &worker{at: mothferry.WorkerAddress{Worker: id}, orphans: map[runID]orphan{}}
 	w.priorLeaseEnd = s.PriorLeaseEnd
 	s.workers[id] = w
 	at, _ := slices.BinarySearchFunc(s.sortedWorkers, id, byID)
@@ -312,7 +276,7 @@
 		if !w.mayPoll(lossy, overdue, now) || w.at.Address == "" || now.Before(w.nextPoll) {
 			continue
 		}
-		if !w.listed && len(w.tasks) == 0 {
+		if !w.listed && len(w.tasks) == 0 && len(w.orphans) == 0 {
 			unlisted = append(unlisted, w)
 			continue
 		}
@@ -337,6 +301,7 @@
 // removeWorker removes an incarnation that has ended, or is neither listed nor has work.
 func (s *State) removeWorker(w *worker, now time.Time) {
 	s.former[w.at.Worker] = formerWorker{removedAt: now}
+	s.dropOrphans(w)
 	delete(s.workers, w.at.Worker)
 	if at, found := slices.BinarySearchFunc(s.sortedWorkers, w.at.Worker, byID); found {
 		s.sortedWorkers = slices.Delete(s.sortedWorkers, at, at+1)
