mfsched: another writer's address for a worker ends none of its runs

An entry of another writer under a worker's id, with the address of another worker, ended the life of the first for its owner: the other worker answers that it is not the one meant, which counted as the end of the incarnation, and all tasks started elsewhere at once while they ran. The worker's own entry is back within a heartbeat, too late.

Such an answer shows an end only if it comes from the address at which the worker has answered this owner. From another one it counts as a poll without an answer, and leases decide.

What remains: a new owner that has had no answer yet can't tell such an entry from the worker's own.

--- a/mfsched/foreign_entry_test.go
+++ b/mfsched/foreign_entry_test.go
@@ -123,3 +123,40 @@
 		assert.Equal(t, again[0].At.Worker, mothferry.WorkerID("w"))
 	})
 }
+
+// Guards against two runs of a task at the same time: another writer's entry under a worker's id
+// names the address of another worker, whose answer that it is not the one meant was taken for the
+// end of the first.
+func TestEntryWithAnotherWorkersAddressEndsNoIncarnation(t *testing.T) {
+	for name, startedAt := range map[string]mothferry.IncarnationStart{"same start": firstIncarnation, "no start": 0, "later start": secondIncarnation} {
+		t.Run(name, func(t *testing.T) {
+			s, starts := runningInFirstIncarnation(t, 1)
+			s.answerStart(starts[0], mfsched.ResultDone, "")
+			s.answerAs("w", firstIncarnation, mothferry.PollReport{Running: runningOf(starts)})
+			s.addReadyWorker("w-2")
+			foreign := worker("w")
+			foreign.StartedAt, foreign.At.Address = startedAt, "10.0.0.2:1"
+			s.step(mfsched.WorkerListed{Worker: foreign})
+			s.advance(20 * time.Millisecond)
+			late := takeCommands[mfsched.Poll](s)
+			for range 20 {
+				s.advance(50 * time.Millisecond)
+				for _, p := range takeCommands[mfsched.Poll](s) {
+					if p.At.Address == foreign.At.Address {
+						s.step(mfsched.PollFailed{Worker: p.At.Worker, Number: p.Number, Sent: s.now, Result: mfsched.ResultIncarnationEnded})
+					}
+				}
+			}
+			assert.Equal(t, len(takeCommands[mfsched.Start](s)), 0, "its run goes on")
+			s.listIncarnation("w", firstIncarnation)
+			s.advance(20 * time.Millisecond)
+			s.answerAs("w", firstIncarnation, mothferry.PollReport{Running: runningOf(starts)})
+			for _, p := range late {
+				s.step(mfsched.PollFailed{Worker: p.At.Worker, Number: p.Number, Sent: s.now, Result: mfsched.ResultIncarnationEnded})
+			}
+			s.advance(time.Second)
+			assert.Equal(t, len(takeCommands[mfsched.Start](s)), 0)
+			assert.Equal(t, len(takeCommands[mfsched.Stop](s)), 0)
+		})
+	}
+}
--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -55,6 +55,13 @@
 	return w.newestStartedAt() != 0 && startedAt >= w.newestStartedAt()
 }
 
+// answeredElsewhere reports whether a worker has answered this owner, and never from an address. An
+// answer from there that the worker is not the one meant says that its entry is another writer's,
+// and nothing about the worker.
+func (w *worker) answeredElsewhere(address string) bool {
+	return w.answeredFrom != "" && address != w.answeredFrom
+}
+
 // acceptIncarnation records which incarnation has answered a poll. It reports whether that is
 // the newest.
 //
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -1,6 +1,7 @@
 package mfsched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,6 +19,9 @@
 	if !current && !w.answersAs(e.Report.StartedAt) || !s.acceptIncarnation(w, e.Report, now) {
 		return
 	}
+	if poll.address != "" {
+		w.answeredFrom = poll.address
+	}
 	w.nextPoll = w.pollSent.Add(minPollInterval)
 	s.countAnswer(w, e.Sent, now)
 	w.observeClock(e.Report.Clock, poll, now)
@@ -64,10 +68,11 @@
 	if !ok {
 		return
 	}
-	if _, current := w.closePoll(e.Number); !current {
+	poll, current := w.closePoll(e.Number)
+	if !current {
 		return
 	}
-	if e.Result == ResultIncarnationEnded {
+	if e.Result == ResultIncarnationEnded && !w.answeredElsewhere(cmp.Or(poll.address, w.at.Address)) {
 		w.nextPoll = now.Add(pollRetryDelay)
 		s.workerEnded(e.Worker, IncarnationEndUnknown, now, now)
 		return
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -16,6 +16,9 @@
 	Worker
 	at     mothferry.WorkerAddress
 	listed bool
+	// answeredFrom is the address from which it last answered a poll of this owner; empty if it
+	// has not.
+	answeredFrom string
 	// startedAt is when the incarnation that answered last started, Worker.StartedAt when the
 	// listed one did. restartedAt is when a restart under the same id was detected; zero if
 	// none was.
@@ -337,14 +340,15 @@
 
 // openPoll is a poll without an answer yet.
 type openPoll struct {
-	number int
-	sent   time.Time
-	wait   time.Duration
+	number  int
+	address string
+	sent    time.Time
+	wait    time.Duration
 }
 
 func (s *State) sendPoll(w *worker, order mothferry.PollOrder, now time.Time) {
 	s.pollCount++
-	w.openPolls = append(w.openPolls, openPoll{number: s.pollCount, sent: now, wait: order.Wait})
+	w.openPolls = append(w.openPolls, openPoll{number: s.pollCount, address: w.at.Address, sent: now, wait: order.Wait})
 	s.emit(Poll{At: w.at, Number: s.pollCount, Order: order})
 }
 
