mfemulate: late calls, late answers, late owners and late lists

The emulator's time was exact: no answer was handled seconds after it came, no order waited on its way and was carried out after its owner had given up on it, no list of machines was older than its answer. Histories with late calls now play that: calls and answers wait on one of several ways and overtake each other, polls are carried out twice, workers handle calls late, commits and their answers are late, the owner's loop stands still while its queues fill and then takes from them in any order, owners change and count the leases of their predecessor from when the head was stored, workers lose their entry while they run, jobs are handed in again, and lists of machines are late, lack a machine or its worker, or are older than those before them. A violation names the owner, the way and the times of both runs, and the decisions on their job and workers.

--- a/mfemulate/fleet.go
+++ b/mfemulate/fleet.go
@@ -24,6 +24,8 @@
 	// previousWorker is the id of the previous incarnation.
 	previousWorker mothferry.WorkerID
 	capacity       mothferry.Resources
+	// hidden is how lists of machines misrepresent it; zero if they don't.
+	hidden Hidden
 }
 
 // AddMachines adds machines with a worker each to a pool, four to a rack.
@@ -122,33 +124,46 @@
 // move.
 func (o *owner) controlMachines() {
 	w := o.world
-	o.do(func() {
-		var machines []mothferry.Machine
-		for _, m := range w.machines {
-			machines = append(machines, mothferry.Machine{Machine: m.id, Pool: m.pool, State: m.state, Capacity: m.capacity, Worker: m.worker})
-		}
-		for _, e := range o.incarnations.Ended(machines, o.state.Loads(), w.now) {
-			e.ListedAt = w.now
-			o.step(e)
-		}
-		if len(w.hosts) > 0 {
-			o.step(mfsched.FleetCapacityReported{Cores: coresOf(machines)})
-		}
-		if !w.Moves && len(w.waves) == 0 || w.now.Sub(o.takenOverAt) < takeoverHold || w.now.Sub(o.lastCommitAt) > maxCommitAge {
-			return
-		}
-		calls := o.machineControl.Plan(mfduty.Fleet{Machines: machines, Loads: o.state.Loads(), Demands: o.state.Demands(w.now), Standby: w.Standby}, w.now)
-		o.step(mfsched.WorkersToEvacuate{Workers: o.machineControl.Evacuating(), MaintenanceDue: o.machineControl.AwaitingMaintenance(machines)})
-		for _, c := range calls {
-			answer := w.moveMachine(c)
-			o.machineControl.RecordAnswer(c, answer, w.now)
-			if w.OnDecision != nil {
-				w.OnDecision(w.Now(), mfsched.Decision{Message: "machine is asked for", Fields: map[string]any{"machine": c.Machine, "pool": c.Pool, "answer": answer}})
-			}
-		}
-	})
+	if w.Late.enabled() {
+		requested, machines := w.now, w.drawList()
+		w.after(w.delay(w.Late.List, w.Late.ListBy), func() {
+			o.doFrom(&o.deferredLists, func() { o.applyMachines(machines, requested) })
+			o.nextControl()
+		})
+		return
+	}
+	o.do(func() { o.applyMachines(w.machineList(), w.now) })
+	o.nextControl()
+}
+
+// nextControl schedules the next list of machines.
+func (o *owner) nextControl() {
 	if !o.dead {
-		w.after(controlInterval, o.controlMachines)
+		o.world.after(controlInterval, o.controlMachines)
+	}
+}
+
+// applyMachines applies a list of machines that was requested at some time.
+func (o *owner) applyMachines(machines []mothferry.Machine, requested time.Time) {
+	w := o.world
+	for _, e := range o.incarnations.Ended(machines, o.state.Loads(), w.now) {
+		e.ListedAt = requested
+		o.step(e)
+	}
+	if len(w.hosts) > 0 {
+		o.step(mfsched.FleetCapacityReported{Cores: coresOf(machines)})
+	}
+	if !w.Moves && len(w.waves) == 0 || w.now.Sub(o.takenOverAt) < takeoverHold || w.now.Sub(o.lastCommitAt) > maxCommitAge {
+		return
+	}
+	calls := o.machineControl.Plan(mfduty.Fleet{Machines: machines, Loads: o.state.Loads(), Demands: o.state.Demands(w.now), Standby: w.Standby}, w.now)
+	o.step(mfsched.WorkersToEvacuate{Workers: o.machineControl.Evacuating(), MaintenanceDue: o.machineControl.AwaitingMaintenance(machines)})
+	for _, c := range calls {
+		answer := w.moveMachine(c)
+		o.machineControl.RecordAnswer(c, answer, w.now)
+		if w.OnDecision != nil {
+			w.OnDecision(w.Now(), mfsched.Decision{Message: "machine is asked for", Fields: map[string]any{"machine": c.Machine, "pool": c.Pool, "answer": answer}})
+		}
 	}
 }
 
--- a/mfemulate/owner.go
+++ b/mfemulate/owner.go
@@ -31,7 +31,9 @@
 	dead        bool
 	frozen      bool
 	partitioned bool
-	deferred    []func()
+	// A stalled owner handles nothing; what comes meanwhile waits in the deferred queues.
+	stalled                                  bool
+	deferred, deferredCommits, deferredLists []func()
 	// takenOverAt is the time of the takeover, lastCommitAt that of the last stored commit.
 	takenOverAt, lastCommitAt time.Time
 }
@@ -41,7 +43,8 @@
 func (w *World) TakeOver() {
 	w.epoch++
 	w.Stats.Takeovers++
-	o := &owner{world: w, epoch: w.epoch, state: mfsched.New(w.Limits, w.epoch, w.now, w.now.Add(w.Limits.LeaseExpiryBound())), machineControl: mfduty.New(), takenOverAt: w.now}
+	o := &owner{world: w, epoch: w.epoch, machineControl: mfduty.New(), takenOverAt: w.now}
+	o.state = mfsched.New(w.Limits, w.epoch, w.now, w.priorLeaseEnd())
 	o.state.Off, o.machineControl.Off = w.Off, w.Off
 	w.owner = o
 	progress := o.restore()
@@ -75,6 +78,15 @@
 	o.controlMachines()
 }
 
+// priorLeaseEnd returns when the leases that previous owners requested have expired, as far as a
+// new owner knows.
+func (w *World) priorLeaseEnd() time.Time {
+	if !w.Late.Claims || w.headStoredAt.IsZero() {
+		return w.now.Add(w.Limits.LeaseExpiryBound())
+	}
+	return w.headStoredAt.Add(w.Limits.LeaseExpiryBound())
+}
+
 // KillOwner ends the owner; a new one takes over after takeoverDelay.
 func (w *World) KillOwner(takeoverDelay time.Duration) {
 	w.owner.dead = true
@@ -107,11 +119,11 @@
 	w.after(takeoverDelay, w.TakeOver)
 }
 
-// do runs f as the owner, or defers it while the owner is frozen.
+// do runs f as the owner, or defers it while the owner is frozen or stalled.
 func (o *owner) do(f func()) {
 	switch {
 	case o.dead:
-	case o.frozen:
+	case o.frozen, o.stalled:
 		o.deferred = append(o.deferred, f)
 	default:
 		f()
@@ -119,7 +131,9 @@
 }
 
 func (o *owner) tick() {
-	o.do(func() { o.step(mfsched.Tick{}) })
+	if !o.stalled {
+		o.do(func() { o.step(mfsched.Tick{}) })
+	}
 	if !o.dead {
 		o.world.after(tickInterval, o.tick)
 	}
@@ -137,12 +151,11 @@
 	case mfsched.Commit:
 		w.Stats.Commits++
 		rows := o.journal.Write(v.Progress)
-		w.after(commitDelay, func() { o.commit(v, rows) })
+		w.after(commitDelay+w.delay(w.Late.Commit, w.Late.CommitBy), func() { o.commit(v, rows) })
 	case mfsched.Start:
 		w.Stats.Starts++
-		sent := w.now
 		var clock mothferry.WorkerClock
-		o.sendOrder(v.At.Worker, func(k *worker) error { clock = k.clock(); return k.start(v.Order) }, func(r mfsched.OrderResult, refusal mothferry.OrderRefusal) {
+		o.sendOrder(v.At.Worker, func(k *worker) error { clock = k.clock(); return k.start(v.Order) }, func(sent time.Time, r mfsched.OrderResult, refusal mothferry.OrderRefusal) {
 			if r == mfsched.ResultRefused {
 				w.Stats.Refused++
 			}
@@ -150,11 +163,11 @@
 		})
 	case mfsched.Stop:
 		w.Stats.Stops++
-		sent := w.now
-		o.sendOrder(v.At.Worker, func(k *worker) error { return k.stop(v.Task, v.Run, o.epoch) }, func(r mfsched.OrderResult, _ mothferry.OrderRefusal) {
+		o.sendOrder(v.At.Worker, func(k *worker) error { return k.stop(v.Task, v.Run, o.epoch) }, func(sent time.Time, r mfsched.OrderResult, _ mothferry.OrderRefusal) {
 			o.step(mfsched.StopAnswered{Worker: v.At.Worker, Sent: sent, Task: v.Task, Run: v.Run, Result: r})
 		})
 	case mfsched.Decision:
+		w.trace(o.epoch, v)
 		if w.OnDecision != nil {
 			w.OnDecision(w.Now(), v)
 		}
@@ -210,9 +223,14 @@
 }
 
 // sendOrder sends an order to a worker over a network that loses and delays calls.
-func (o *owner) sendOrder(id mothferry.WorkerID, execute func(*worker) error, answered func(mfsched.OrderResult, mothferry.OrderRefusal)) {
+func (o *owner) sendOrder(id mothferry.WorkerID, execute func(*worker) error, answered func(time.Time, mfsched.OrderResult, mothferry.OrderRefusal)) {
 	w := o.world
-	unknown := func() { o.do(func() { answered(mfsched.ResultUnknown, "") }) }
+	if w.Late.enabled() {
+		o.sendOrderLate(id, execute, answered)
+		return
+	}
+	sent := w.now
+	unknown := func() { o.do(func() { answered(sent, mfsched.ResultUnknown, "") }) }
 	switch {
 	case w.chance(w.Faults.LoseOrder):
 		w.after(callTimeout, unknown)
@@ -243,7 +261,7 @@
 		if !k.ended {
 			r, refusal = resultOf(execute(k))
 		}
-		w.after(orderDelay, func() { o.do(func() { answered(r, refusal) }) })
+		w.after(orderDelay, func() { o.do(func() { answered(sent, r, refusal) }) })
 	})
 }
 
@@ -257,6 +275,10 @@
 
 func (o *owner) sendPoll(v mfsched.Poll) {
 	w := o.world
+	if w.Late.enabled() {
+		o.sendPollLate(v)
+		return
+	}
 	sent := w.now
 	finished := false
 	end := func(e mfsched.Event) {
--- a/mfemulate/regression_test.go
+++ b/mfemulate/regression_test.go
@@ -117,3 +117,32 @@
 	assert.Equal(t, len(w.Violations), 0, "%v", w.Violations)
 	assert.Equal(t, w.Unfinished(), 0)
 }
+
+// Guards against a task that runs twice because a late list of machines, which shows the end of a
+// worker's former incarnation, ends the one that has started since under the same id.
+func TestLateListEndsNoLaterIncarnation(t *testing.T) {
+	t.Parallel()
+	checkLateHistory(t, 33, []string{"crash", "reuse", "list"}, nil)
+}
+
+// Guards against a task that runs twice because the tasks of an ended incarnation start elsewhere at
+// once: the next one under the same id carries out the start orders that were still on their way.
+func TestOrdersForEndedIncarnationStartNothingTwice(t *testing.T) {
+	t.Parallel()
+	checkLateHistory(t, 3, []string{"crash", "reuse", "send"}, nil)
+	checkLateHistory(t, 15, []string{"crash", "reuse", "hold"}, nil)
+}
+
+// Guards against a task that runs twice because its worker can't be reached and is missing from lists
+// of machines: it is alive, and its lease has not expired.
+func TestUnreachableWorkerMissingFromListsKeepsItsTasks(t *testing.T) {
+	t.Parallel()
+	checkLateHistory(t, 12, []string{"hide", "cut"}, nil)
+}
+
+// Guards against a task that runs twice because a list of machines that is older than the one before
+// ends the worker that has started in between.
+func TestOldListEndsNoLiveWorker(t *testing.T) {
+	t.Parallel()
+	checkLateHistory(t, 1, []string{"oldlist", "crash"}, nil)
+}
--- a/mfemulate/store.go
+++ b/mfemulate/store.go
@@ -62,7 +62,7 @@
 	}
 	// Nothing follows the changes.
 	w.rows.DropHistory()
-	o.headVersion = version
+	o.headVersion, w.headStoredAt = version, w.now
 	return true
 }
 
@@ -73,7 +73,12 @@
 		// The owner gets no answer and retries in vain.
 		return
 	}
+	delay := commitDelay/2 + w.delay(w.Late.Commit, w.Late.CommitBy)
 	if !o.writeHead(rows) {
+		if w.Late.enabled() {
+			w.after(delay, func() { o.doFrom(&o.deferredCommits, func() { o.dead = true }) })
+			return
+		}
 		o.dead = true
 		return
 	}
@@ -81,11 +86,10 @@
 	maps.Copy(w.committed, c.Progress)
 	w.recordStoredStates(rows)
 	o.lastCommitAt = w.now
-	delay := commitDelay / 2
 	if w.chance(w.Faults.LoseCommitAnswer) {
 		delay += callTimeout
 	}
-	w.after(delay, func() { o.do(func() { o.step(mfsched.CommitDone{Number: c.Number}) }) })
+	w.after(delay, func() { o.doFrom(&o.deferredCommits, func() { o.step(mfsched.CommitDone{Number: c.Number}) }) })
 }
 
 // maxCommitRows is how many rows a commit may have besides the head.
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -41,6 +42,7 @@
 // run is one run of a task.
 type run struct {
 	number    mothferry.RunNumber
+	origin    origin
 	step      *mfjob.Step
 	startedAt time.Time
 	duration  time.Duration
@@ -212,8 +214,12 @@
 	}
 	o.world.checkStart(o, order)
 	duration := o.world.drawDuration(order.Task, step)
-	r := &run{number: order.Run, step: step, startedAt: o.world.now, paceChangedAt: o.world.now, duration: duration, fails: o.world.chance(o.world.Faults.FailTask)}
+	r := &run{number: order.Run, origin: o.world.origin, step: step, startedAt: o.world.now, paceChangedAt: o.world.now, duration: duration, fails: o.world.chance(o.world.Faults.FailTask)}
 	r.hung = !step.Lasting && o.world.chance(o.hangFraction)
+	if lower, running := o.running[order.Task]; running {
+		// It is a violation that checkStart has reported.
+		lower.ended = true
+	}
 	o.running[order.Task] = r
 	o.world.scheduleCrash(o, order.Task)
 	if step.Lasting {
@@ -285,6 +291,10 @@
 				continue
 			}
 			w.violation("task %v run %d starts on %s while run %d runs on %s", order.Task, order.Run, o.listing.At.Worker, r.number, other.listing.At.Worker)
+			if w.Late.enabled() {
+				second := &run{number: order.Run, startedAt: w.now}
+				w.Twice = append(w.Twice, fmt.Sprintf("task %v: %s; %s\n%s", order.Task, w.describeRun(r, r.origin, other), w.describeRun(second, w.origin, o), w.explain(order.Task, other, o)))
+			}
 		}
 	}
 	if !slices.Contains(w.startedOn[order.Task], o) {
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -74,6 +74,8 @@
 type World struct {
 	Limits mfsched.Limits
 	Faults Faults
+	// Late makes calls, answers and lists late.
+	Late   Lateness
 	Random *rand.Rand
 	Queues map[mothferry.QueueID]mfsched.Queue
 	// Accounts are the client accounts; SetAccounts changes them during the simulation.
@@ -122,14 +124,25 @@
 	accountChanges int
 	// faultUntilTime is the time until which a fault may affect owners.
 	faultUntilTime time.Time
-	// lateOrder is set while a worker executes an order late.
+	// lateOrder is set while a worker executes an order late, origin while it executes one of a
+	// known origin.
 	lateOrder bool
+	origin    origin
+	// relayStalledUntil holds until when each stalled relay holds calls.
+	relayStalledUntil map[string]time.Time
+	// lists holds the latest lists of machines, decisions the latest decisions of owners.
+	lists     []composedList
+	decisions []tracedDecision
+	// headStoredAt is when the head was last stored.
+	headStoredAt time.Time
 	// Stats is filled during the simulation.
 	Stats Stats
 	// OnDecision is called with each decision that the owner logs; it may be nil.
 	OnDecision func(at time.Duration, d mfsched.Decision)
 	// Violations holds the violated invariants.
 	Violations []string
+	// Twice holds those violations in which a task has two runs, with the history of both.
+	Twice []string
 }
 
 // jobRecord is the simulated state of one job.
@@ -310,7 +323,7 @@
 // sample adds a point to the series, accumulates machine time and extends the fault period
 // while calls may be lost.
 func (w *World) sample() {
-	if w.Faults.affectCalls() {
+	if w.Faults.affectCalls() || w.Late.affectsCalls() {
 		w.extendFault(w.now.Add(sampleInterval))
 	}
 	p := Point{At: w.Now(), Machines: map[mothferry.ServiceID]int{}}
