mffeed: a page without rows does not end a table

ReadAll took a page without rows for the end of the table although the store said that more rows follow, and returned what it had. A new owner that read the stored progress like that would take the jobs of the other pages for not begun and start their tasks a second time, and hosts would miss jobs or workers. The pages of the platform allow a page to end at its size, and promise no row on it; no store is known to do it. The read now fails with ErrIncomplete, and its callers repeat it as after any failed read. TestPageWithoutRowsDoesNotEndTable failed before the change (1 row, no error).

--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -244,7 +245,8 @@
 }
 
 // ReadAll reads all rows of a range, page by page, and returns the store's version at the first
-// page: following the changes from there misses none. A limit in q bounds the rows of a page.
+// page: following the changes from there misses none. A limit in q bounds the rows of a page. It fails
+// with ErrIncomplete if the store stops before the last row.
 func ReadAll(ctx context.Context, store mothferry.RowStore, q mothferry.RowRange) ([]mothferry.Row, mothferry.Version, error) {
 	var rows []mothferry.Row
 	var version mothferry.Version
@@ -261,9 +263,12 @@
 			version = page.Version
 		}
 		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More {
 			return rows, version, nil
 		}
+		if len(page.Rows) == 0 {
+			return nil, 0, &ErrIncomplete{Table: q.Table, Part: q.Part}
+		}
 		q.From = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 }
@@ -283,3 +288,14 @@
 		q.Limit = max(1, q.Limit/pageShrinkFactor)
 	}
 }
+
+// ErrIncomplete reports that a store has more rows of a table than it returns.
+type ErrIncomplete struct {
+	Table mothferry.TableID
+	Part  mothferry.PartID
+}
+
+// Error implements error.
+func (e *ErrIncomplete) Error() string {
+	return fmt.Sprintf("read table %s, part %q: a page has no rows, and more follow", e.Table, e.Part)
+}
--- a/mffeed/follower_test.go
+++ b/mffeed/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -122,3 +123,31 @@
 	assert.Assert(t, lag <= 16, "%d versions behind", lag)
 	assert.Assert(t, store.sent.Load() < 30, "%d rows sent for 60 versions", store.sent.Load())
 }
+
+// pagedStore returns the pages of a table in order, whatever is asked for.
+type pagedStore struct {
+	mothferry.RowStore
+
+	pages []mothferry.RowPage
+}
+
+// Range implements mothferry.RowStore.
+func (s *pagedStore) Range(context.Context, mothferry.RowRange) (mothferry.RowPage, error) {
+	page := s.pages[0]
+	s.pages = s.pages[1:]
+	return page, nil
+}
+
+// Guards against a new owner that starts a job anew as it has read only a part of the stored progress:
+// a page without rows of which more follow is no end of the table.
+func TestPageWithoutRowsDoesNotEndTable(t *testing.T) {
+	row := func(key mothferry.Key) mothferry.Row { return mothferry.Row{Table: "t", Key: key, Version: 1} }
+	store := &pagedStore{pages: []mothferry.RowPage{
+		{Version: 3, More: true, Rows: []mothferry.Row{row("a")}},
+		{Version: 3, More: true},
+	}}
+	rows, _, err := mffeed.ReadAll(context.Background(), store, mothferry.RowRange{Table: "t"})
+	var incomplete *mffeed.ErrIncomplete
+	assert.Assert(t, errors.As(err, &incomplete), "%d rows read, error %v", len(rows), err)
+	assert.Equal(t, incomplete.Table, mothferry.TableID("t"))
+}
