mffeed: following starts at the oldest version of all parts

ReadParts took version 0 of a part for a version that is not known yet. If a first part was read while the store was empty and another one after the first write, following began at the later version and missed what had been written to the first part: no owner would have seen that job until the inbox was read again. Each part now keeps its version, and the least of them counts. TestFollowingAfterReadOfEmptyStoreMissesNothing failed before the change (0 of 1 row seen).

--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -225,23 +225,22 @@
 	}
 	var mutex sync.Mutex
 	var rows []mothferry.Row
-	var version mothferry.Version
+	versions := make([]mothferry.Version, len(parts))
 	var group errgroup.Group
 	group.SetLimit(maxParallelReads)
-	for _, p := range parts {
+	for i, p := range parts {
 		group.Go(func() error {
-			partRows, partVersion, err := ReadAll(ctx, store, mothferry.RowRange{Table: table, Part: p})
+			partRows, version, err := ReadAll(ctx, store, mothferry.RowRange{Table: table, Part: p})
 			mutex.Lock()
 			defer mutex.Unlock()
-			rows = append(rows, partRows...)
-			if version == 0 || partVersion < version {
-				version = partVersion
-			}
+			rows, versions[i] = append(rows, partRows...), version
 			return err
 		})
 	}
-	err := group.Wait()
-	return rows, version, err
+	if err := group.Wait(); err != nil {
+		return nil, 0, err
+	}
+	return rows, slices.Min(versions), nil
 }
 
 // ReadAll reads all rows of a range, page by page, and returns the store's version at the first
--- a/mffeed/follower_test.go
+++ b/mffeed/follower_test.go
@@ -151,3 +151,34 @@
 	assert.Assert(t, errors.As(err, &incomplete), "%d rows read, error %v", len(rows), err)
 	assert.Equal(t, incomplete.Table, mothferry.TableID("t"))
 }
+
+// writtenBetween is a store that is written to after the first read.
+type writtenBetween struct {
+	*mfstandin.Rows
+
+	once sync.Once
+}
+
+// Range implements mothferry.RowStore.
+func (s *writtenBetween) Range(ctx context.Context, q mothferry.RowRange) (mothferry.RowPage, error) {
+	page, err := s.Rows.Range(ctx, q)
+	s.once.Do(func() {
+		_, err = s.Commit(ctx, mothferry.Txn{Writes: []mothferry.Write{{Table: "t", Part: q.Part, Key: "k"}}})
+	})
+	return page, err
+}
+
+// Guards against a job that no owner ever sees: it was stored while an owner read the parts of an empty
+// store, in a part that had been read before the others.
+func TestFollowingAfterReadOfEmptyStoreMissesNothing(t *testing.T) {
+	store := &writtenBetween{Rows: &mfstandin.Rows{}}
+	var parts []mothferry.PartID
+	for i := range 40 {
+		parts = append(parts, mothferry.PartID(strconv.Itoa(i)))
+	}
+	rows, version, err := mffeed.ReadParts(context.Background(), store, "t", parts)
+	assert.NilError(t, err)
+	page, err := store.Follow(context.Background(), "t", version, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows)+len(page.Rows), 1, "followed from version %d", version)
+}
