mfrelay: an order ends with its owner's interest in it

It sent each order it had, whatever became of the owner's session, and however long the order had waited for its turn: a worker that is slow but answers has no bound on that wait. Starts and stops reached workers seconds after their owner counted them as unknown; a worker that was started again under the same id by then, and knows of no stop and no newer epoch, carries such a start out.

- An order names within which time of its receipt it must be sent to the worker, as the relay can't read the owner's clock: the time of a call, less what it waited for at the owner.
The margin by which the owner waits longer is left for the message itself.
A relay that knows no such time, of an earlier version, ignores it. - Orders that are not sent yet end with the owner's session at the relay. - A relay that was suspended reads what its owner wrote before it ended the session first.
After a pause it waits until the end would have been seen. - The owner doesn't write orders any more that nobody waits for, and refuses those that waited too long for the link.
An order that wasn't written when its relay was lost goes another way, as polls do, and no longer counts as unknown.

An order that ends like this was certainly not executed and is answered as refused. No message or round trip is added.

--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -45,7 +45,11 @@
 )
 
 // errLinkLost reports that a link ended before an order was answered.
-type errLinkLost struct{ relay mothferry.DaemonID }
+type errLinkLost struct {
+	relay mothferry.DaemonID
+	// written is set if the order was written to the relay, so that it may have been executed.
+	written bool
+}
 
 // Error implements error.
 func (e *errLinkLost) Error() string { return fmt.Sprintf("relay %q was lost", e.relay) }
@@ -54,8 +58,20 @@
 type pendingOrder struct {
 	worker mothferry.WorkerID
 	// result receives the one answer.
-	result   chan answer
-	deadline time.Time
+	result chan answer
+	// sendBy is until when the relay may send it to the worker, deadline is until when its answer is
+	// waited for.
+	sendBy, deadline time.Time
+	// written is set when it is written to the relay.
+	written bool
+}
+
+// overdue returns the error of an order whose answer is no longer waited for.
+func (w *pendingOrder) overdue(relay mothferry.DaemonID, cause error) error {
+	if !w.written {
+		return &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalUnhealthy}
+	}
+	return &mothferry.ErrUnavailable{Operation: "order via relay " + string(relay), Err: cause}
 }
 
 // link is the connection to one relay.
@@ -75,7 +91,7 @@
 	session    *mfsession.Session
 	lastNumber uint64
 	orders     []*mfwire.Order
-	pending    map[uint64]pendingOrder
+	pending    map[uint64]*pendingOrder
 	lastHeard  time.Time
 	// wake signals the writer that there are orders.
 	wake chan struct{}
@@ -141,7 +157,7 @@
 		return nil, l.endErr
 	}
 	l.session, l.connected, l.lastHeard = session, true, l.clock.Now()
-	l.pending = map[uint64]pendingOrder{}
+	l.pending = map[uint64]*pendingOrder{}
 	l.wake = make(chan struct{}, 1)
 	return stream, nil
 }
@@ -181,9 +197,10 @@
 		_ = l.session.Close()
 		close(l.wake)
 	}
+	l.orders = nil
 	l.unanswered = len(l.pending)
 	for number, w := range l.pending {
-		w.result <- answer{err: &errLinkLost{relay: l.host.Daemon}}
+		w.result <- answer{err: &errLinkLost{relay: l.host.Daemon, written: w.written}}
 		delete(l.pending, number)
 	}
 }
@@ -228,7 +245,7 @@
 	unresponsive := now.Sub(l.lastHeard) > silenceTimeout
 	for number, w := range l.pending {
 		if now.After(w.deadline) {
-			w.result <- answer{err: &mothferry.ErrUnavailable{Operation: "order via relay " + string(l.host.Daemon), Err: context.DeadlineExceeded}}
+			w.result <- answer{err: w.overdue(l.host.Daemon, context.DeadlineExceeded)}
 			delete(l.pending, number)
 		}
 	}
@@ -240,10 +257,7 @@
 }
 
 func (l *link) writeBatch(stream net.Conn) error {
-	l.mutex.Lock()
-	batch := &mfwire.Batch{Orders: l.orders}
-	l.orders = nil
-	l.mutex.Unlock()
+	batch := &mfwire.Batch{Orders: l.takeOrders()}
 	if err := stream.SetWriteDeadline(time.Now().Add(silenceTimeout)); err != nil {
 		return trace.Wrap(err)
 	}
@@ -251,6 +265,32 @@
 	return trace.Wrap(err)
 }
 
+// takeOrders returns the orders to write. Those that nobody waits for any more are dropped; those
+// that the relay may no longer send are refused.
+func (l *link) takeOrders() []*mfwire.Order {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.clock.Now()
+	var orders []*mfwire.Order
+	for _, o := range l.orders {
+		w, waited := l.pending[o.GetNumber()]
+		if !waited {
+			continue
+		}
+		left := w.sendBy.Sub(now)
+		if left <= 0 {
+			w.result <- answer{err: w.overdue(l.host.Daemon, context.DeadlineExceeded)}
+			delete(l.pending, o.GetNumber())
+			continue
+		}
+		w.written = true
+		o.SendWithinNs = int64(left)
+		orders = append(orders, o)
+	}
+	l.orders = nil
+	return orders
+}
+
 // receive reads answers until the link ends.
 func (l *link) receive(stream net.Conn) {
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
@@ -278,9 +318,11 @@
 	}
 }
 
-// execute has the relay execute an order and waits for its answer.
-func (l *link) execute(ctx context.Context, order *mfwire.Order, timeout time.Duration) (mothferry.PollReport, error) {
-	w := pendingOrder{worker: mothferry.WorkerID(order.GetWorker()), result: make(chan answer, 1), deadline: l.clock.Now().Add(timeout)}
+// execute has the relay execute an order and waits for its answer. The relay may send it to the worker
+// within orderTimeout; its answer is waited for until wait and answerMargin later.
+func (l *link) execute(ctx context.Context, order *mfwire.Order, orderTimeout, wait time.Duration) (mothferry.PollReport, error) {
+	sendBy := l.clock.Now().Add(orderTimeout)
+	w := &pendingOrder{worker: mothferry.WorkerID(order.GetWorker()), result: make(chan answer, 1), sendBy: sendBy, deadline: sendBy.Add(wait + answerMargin)}
 	l.mutex.Lock()
 	if l.endErr != nil {
 		l.mutex.Unlock()
@@ -300,8 +342,8 @@
 		return a.report, a.err
 	case <-ctx.Done():
 		l.mutex.Lock()
+		defer l.mutex.Unlock()
 		delete(l.pending, order.Number)
-		l.mutex.Unlock()
-		return mothferry.PollReport{}, &mothferry.ErrUnavailable{Operation: "order via relay " + string(l.host.Daemon), Err: ctx.Err()}
+		return mothferry.PollReport{}, w.overdue(l.host.Daemon, ctx.Err())
 	}
 }
--- a/mfrelay/relay.go
+++ b/mfrelay/relay.go
@@ -23,6 +23,7 @@
 	"mothferry"
 	"mothferry/mfclock"
 	"mothferry/mfrecord"
+	"mothferry/mfrelay/mfwire"
 )
 
 const (
@@ -214,35 +215,38 @@
 
 // Start implements mothferry.TaskWorkers.
 func (r *Relay) Start(ctx context.Context, at mothferry.WorkerAddress, o mothferry.StartOrder) (mothferry.WorkerClock, error) {
-	l := r.route(at)
-	if l == nil {
-		return r.Direct.Start(ctx, at, o)
-	}
-	if trace := mothferry.OrderTraceOf(ctx); trace != nil {
-		trace.Relay = l.host.Daemon
-	}
-	reply, err := l.execute(ctx, encodeStart(at, o), r.OrderTimeout+answerMargin)
-	return reply.Clock, err
+	return r.order(ctx, at, encodeStart(at, o), func() (mothferry.WorkerClock, error) { return r.Direct.Start(ctx, at, o) })
 }
 
 // Stop implements mothferry.TaskWorkers.
 func (r *Relay) Stop(ctx context.Context, at mothferry.WorkerAddress, task mothferry.TaskName, run mothferry.RunNumber, epoch mothferry.Epoch) (mothferry.WorkerClock, error) {
-	l := r.route(at)
-	if l == nil {
-		return r.Direct.Stop(ctx, at, task, run, epoch)
-	}
-	reply, err := l.execute(ctx, encodeStop(at, task, run, epoch), r.OrderTimeout+answerMargin)
-	return reply.Clock, err
+	return r.order(ctx, at, encodeStop(at, task, run, epoch), func() (mothferry.WorkerClock, error) { return r.Direct.Stop(ctx, at, task, run, epoch) })
 }
 
 // Pace implements mothferry.TaskWorkers.
 func (r *Relay) Pace(ctx context.Context, at mothferry.WorkerAddress, task mothferry.TaskName, run mothferry.RunNumber, percent int, epoch mothferry.Epoch) (mothferry.WorkerClock, error) {
-	l := r.route(at)
-	if l == nil {
+	return r.order(ctx, at, encodePace(at, task, run, percent, epoch), func() (mothferry.WorkerClock, error) {
 		return r.Direct.Pace(ctx, at, task, run, percent, epoch)
+	})
+}
+
+// order has an order executed via the worker's relay, or by direct if there is none. An order that was
+// not yet written when its relay was lost goes another way.
+func (r *Relay) order(ctx context.Context, at mothferry.WorkerAddress, o *mfwire.Order, direct func() (mothferry.WorkerClock, error)) (mothferry.WorkerClock, error) {
+	for {
+		l := r.route(at)
+		if l == nil {
+			return direct()
+		}
+		if trace := mothferry.OrderTraceOf(ctx); trace != nil {
+			trace.Relay = l.host.Daemon
+		}
+		reply, err := l.execute(ctx, o, r.OrderTimeout, 0)
+		var lost *errLinkLost
+		if !errors.As(err, &lost) || lost.written || ctx.Err() != nil {
+			return reply.Clock, err
+		}
 	}
-	reply, err := l.execute(ctx, encodePace(at, task, run, percent, epoch), r.OrderTimeout+answerMargin)
-	return reply.Clock, err
 }
 
 // Poll implements mothferry.TaskWorkers. A poll whose relay was lost is repeated via another
@@ -254,7 +258,7 @@
 		if l == nil {
 			return r.Direct.Poll(ctx, at, o)
 		}
-		reply, err := l.execute(ctx, encodeLook(at, o), r.OrderTimeout+o.Wait+answerMargin)
+		reply, err := l.execute(ctx, encodeLook(at, o), r.OrderTimeout, o.Wait)
 		var lost *errLinkLost
 		if !errors.As(err, &lost) || ctx.Err() != nil {
 			return reply, err
--- a/mfrelay/relay_test.go
+++ b/mfrelay/relay_test.go
@@ -91,7 +91,7 @@
 }
 
 // addHost adds a host that relays orders to w, and returns its server and what ends it.
-func (f *fleet) addHost(t *testing.T, id mothferry.DaemonID, w *fakeWorkers) (*mfrelay.Server, context.CancelFunc) {
+func (f *fleet) addHost(t *testing.T, id mothferry.DaemonID, w mothferry.TaskWorkers) (*mfrelay.Server, context.CancelFunc) {
 	address := freeAddress(t)
 	s := &mfrelay.Server{Address: address, Workers: w, Clock: mfclock.System{}, Log: discardLog()}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -109,8 +109,9 @@
 	return listener.Addr().String()
 }
 
-// start runs the owner's side, and polls so many workers that relays are chosen.
-func (f *fleet) start(t *testing.T) {
+// start runs the owner's side, and polls so many workers that relays are chosen. It returns what ends
+// the owner's side.
+func (f *fleet) start(t *testing.T) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for i := range 200 {
@@ -118,6 +119,7 @@
 		assert.NilError(t, err)
 	}
 	go func() { _ = f.relay.Run(ctx) }()
+	return cancel
 }
 
 func worker(i int) mothferry.WorkerAddress {
--- a/mfrelay/server.go
+++ b/mfrelay/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -25,6 +26,11 @@
 // nothing, and its session would be kept for as long as this host runs.
 const ownerSilenceTimeout = 10 * time.Second
 
+// endNoticeDelay is how long the end of a session may take to be seen behind the messages before it.
+const endNoticeDelay = 20 * time.Millisecond
+
+var errSessionEnded = errors.New("session has ended")
+
 // Server relays an owner's orders to workers. The exported fields are set before Run.
 type Server struct {
 	Address string
@@ -133,8 +139,11 @@
 	s.Log.WithError(err).WithField("owner", address).Info("owner disconnected")
 }
 
-// run executes orders until the session ends.
+// run executes orders until the session ends. Orders that are not yet sent to their workers by then
+// end unsent: their owner counts them as unknown, or has lost the shard.
 func (v *ownerSession) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	stream, err := v.session.AcceptStream()
 	if err != nil {
 		return trace.Wrap(err)
@@ -142,6 +151,7 @@
 	go v.send(stream)
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
+	received := v.server.Clock.Now()
 	for {
 		var batch mfwire.Batch
 		if err := stream.SetReadDeadline(time.Now().Add(ownerSilenceTimeout)); err != nil {
@@ -150,6 +160,16 @@
 		if err := options.UnmarshalFrom(reader, &batch); err != nil {
 			return trace.Wrap(err)
 		}
+		last := received
+		received = v.server.Clock.Now()
+		if timeOfDaySince(last, received) > silenceTimeout {
+			// This host was suspended or short of processor time, and its owner may have ended the
+			// session: what it wrote before that comes first.
+			<-v.server.Clock.After(endNoticeDelay)
+		}
+		if v.session.IsClosed() {
+			return errSessionEnded
+		}
 		if len(batch.GetOrders()) == 0 {
 			v.wakeUp()
 		}
@@ -158,11 +178,15 @@
 				v.answer(encodeOutcome(o.GetNumber(), 0, &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalUnhealthy}))
 				continue
 			}
-			go v.execute(ctx, o)
+			go v.execute(ctx, o, received)
 		}
 	}
 }
 
+// timeOfDaySince returns the time between two moments by the time of day, which unlike the monotonic
+// clock also counts the time for which the host was suspended.
+func timeOfDaySince(from, to time.Time) time.Duration { return to.Round(0).Sub(from.Round(0)) }
+
 // begin counts an order to execute, unless there are too many.
 func (v *ownerSession) begin() bool {
 	v.mutex.Lock()
@@ -177,7 +201,12 @@
 }
 
 // execute sends one order to its worker and queues the answer.
-func (v *ownerSession) execute(ctx context.Context, o *mfwire.Order) {
+func (v *ownerSession) execute(ctx context.Context, o *mfwire.Order, received time.Time) {
+	if within := time.Duration(o.GetSendWithinNs()); within > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, received.Add(within))
+		defer cancel()
+	}
 	workers, at, epoch := v.server.Workers, addressOf(o), mothferry.Epoch(o.GetEpoch())
 	var clock mothferry.WorkerClock
 	var report *mfwire.Report
--- a/mfrelay/withdraw_test.go
+++ b/mfrelay/withdraw_test.go
@@ -1,18 +1,119 @@
 package mfrelay_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
 	"gotest.tools/v3/assert"
 
+	"mothferry"
+	"mothferry/mfclock"
 	"mothferry/mfrecord"
+	"mothferry/mfrelay"
+	"mothferry/mfrelay/mfwire"
+	"mothferry/mfsession"
 )
 
+// heldWorkers stands for workers whose turn to get a start doesn't come: a start waits until its
+// context ends, and is then refused as not executed.
+type heldWorkers struct {
+	fakeWorkers
+	waiting, withdrawn chan struct{}
+}
+
+func newHeldWorkers() *heldWorkers {
+	return &heldWorkers{waiting: make(chan struct{}, 100), withdrawn: make(chan struct{}, 100)}
+}
+
+func (w *heldWorkers) Start(ctx context.Context, _ mothferry.WorkerAddress, _ mothferry.StartOrder) (mothferry.WorkerClock, error) {
+	w.waiting <- struct{}{}
+	select {
+	case <-ctx.Done():
+	case <-time.After(10 * time.Second):
+		return 0, errors.New("start is still wanted after 10 s")
+	}
+	w.withdrawn <- struct{}{}
+	return 0, &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalUnhealthy}
+}
+
+func within(t *testing.T, limit time.Duration, what string, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(limit):
+		t.Fatalf("not within %v: %s", limit, what)
+	}
+}
+
+// Guards against a start that is sent to a worker after the owner's session at its relay has ended, when
+// the owner counts it as unknown or has lost the shard.
+func TestOrderEndsWithItsOwnersSession(t *testing.T) {
+	f := newFleet()
+	f.relay.OrderTimeout = time.Minute
+	remote := newHeldWorkers()
+	f.addHost(t, "r-1", remote)
+	end := f.start(t)
+	eventually(t, "orders are relayed", func() bool { return f.firstRelayed(10) })
+	result := make(chan error, 1)
+	go func() {
+		_, err := f.relay.Start(context.Background(), worker(1), mothferry.StartOrder{})
+		result <- err
+	}()
+	within(t, 5*time.Second, "start waits at the relay", remote.waiting)
+	end()
+	assertUnknown(t, <-result)
+	within(t, 5*time.Second, "start is withdrawn", remote.withdrawn)
+}
+
+// Guards against a start that waits at its relay for longer than its owner waits for an answer and is
+// sent then: it is refused before its owner gives up on it.
+func TestOrderIsNotSentAfterItsOwnerGaveUp(t *testing.T) {
+	f := newFleet()
+	remote := newHeldWorkers()
+	f.addHost(t, "r-1", remote)
+	f.start(t)
+	eventually(t, "orders are relayed", func() bool { return f.firstRelayed(10) })
+	_, err := f.relay.Start(context.Background(), worker(1), mothferry.StartOrder{})
+	within(t, 5*time.Second, "start is withdrawn", remote.withdrawn)
+	var refused *mothferry.ErrOrderRefused
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+}
+
+// Guards against a start that is carried out although its owner gave up on it before it was written to
+// the relay.
+func TestOrderGivenUpBeforeItIsWrittenIsNotSent(t *testing.T) {
+	f := newFleet()
+	remote := &fakeWorkers{}
+	f.addHost(t, "r-1", remote)
+	f.start(t)
+	eventually(t, "orders are relayed", func() bool { return f.firstRelayed(10) })
+	before := remote.callCount()
+	ctx, giveUp := context.WithCancel(context.Background())
+	giveUp()
+	const starts = 20
+	refusals := 0
+	for range starts {
+		_, err := f.relay.Start(ctx, worker(1), mothferry.StartOrder{})
+		var refused *mothferry.ErrOrderRefused
+		if errors.As(err, &refused) {
+			refusals++
+		}
+	}
+	assert.Assert(t, refusals > 0)
+	assert.NilError(t, f.look(1))
+	executed := remote.callCount() - before - 1
+	assert.Assert(t, executed <= starts-refusals, "%d of %d starts were executed, %d count as not executed", executed, starts, refusals)
+}
+
 // silentRelay accepts connections and reads nothing.
 func silentRelay(t *testing.T, f *fleet) <-chan net.Conn {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -50,3 +151,82 @@
 	_, err := io.ReadAll(c)
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
+
+// Guards against a start that counts as unknown, so that its task waits, although it was never written:
+// it goes another way when its relay is lost, and is executed once.
+func TestUnwrittenOrderGoesAnotherWay(t *testing.T) {
+	f := newFleet()
+	f.relay.OrderTimeout = time.Minute
+	accepted := silentRelay(t, f)
+	f.start(t)
+	<-accepted
+	// A message that is longer than all buffers on its way blocks the ones after it.
+	long := strings.Repeat("x", 16<<20)
+	written := make(chan error, 1)
+	eventually(t, "a start is sent via the relay", func() bool {
+		before := f.direct.callCount()
+		go func() {
+			_, err := f.relay.Start(context.Background(), worker(1), mothferry.StartOrder{Spec: long})
+			written <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		if f.direct.callCount() == before {
+			return true
+		}
+		<-written
+		return false
+	})
+	before := f.direct.callCount()
+	_, err := f.relay.Start(context.Background(), worker(2), mothferry.StartOrder{})
+	assert.NilError(t, err)
+	assertUnknown(t, <-written)
+	assert.Equal(t, f.direct.callCount(), before+1)
+}
+
+// suspendedClock is the system's clock with a time of day that can be set forward, as after a suspension.
+type suspendedClock struct {
+	mfclock.System
+	ahead atomic.Int64
+}
+
+// Now implements mothferry.Clock. The times have no monotonic part.
+func (c *suspendedClock) Now() time.Time {
+	return time.Now().Round(0).Add(time.Duration(c.ahead.Load()))
+}
+
+// Guards against a start that a relay carries out after it was suspended, while its owner wrote the start
+// and then ended the session: both are read at once when the relay continues.
+func TestOrdersReadAfterSuspensionAreNotSent(t *testing.T) {
+	clock := &suspendedClock{}
+	remote := newHeldWorkers()
+	server := &mfrelay.Server{Address: freeAddress(t), Workers: remote, Clock: clock, Log: discardLog()}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = server.Run(ctx) }()
+	for range 20 {
+		var connection net.Conn
+		eventually(t, "relay accepts connections", func() bool {
+			var err error
+			connection, err = net.Dial("tcp", server.Address)
+			return err == nil
+		})
+		config := yamux.DefaultConfig()
+		config.LogOutput = io.Discard
+		session, err := mfsession.Client(connection, config)
+		assert.NilError(t, err)
+		stream, err := session.OpenStream()
+		assert.NilError(t, err)
+		_, err = protodelim.MarshalTo(stream, &mfwire.Batch{})
+		assert.NilError(t, err)
+		answer := make([]byte, 1)
+		_, err = stream.Read(answer)
+		assert.NilError(t, err)
+		clock.ahead.Add(int64(time.Second))
+		start := &mfwire.Order{Number: 1, Worker: "w", Kind: &mfwire.Order_Start{Start: &mfwire.Start{}}}
+		_, err = protodelim.MarshalTo(stream, &mfwire.Batch{Orders: []*mfwire.Order{start}})
+		assert.NilError(t, err)
+		assert.NilError(t, session.Close())
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(remote.waiting), 0)
+}
