mfsched: a returning worker refuses what was ordered of its earlier lives

A caller could see a task run twice: the order to start it had no answer and was held up, its worker's incarnation ended or its lease expired, and the task started elsewhere. The order then reached a later incarnation under the same id, which had seen no stop, and whose clock had not come to the lease's end. Only the tasks that were still bound to a worker when it restarted were stopped there first.

Runs that are released while orders to start them have no answer are kept for a minute, by worker, also after the worker was removed; an answer that comes after all removes its run. Each new incarnation under the id is ordered to stop them as soon as it is listed or has answered. Until it has, and a poll shows that they don't run there, they count as orphaned: a task that still waits does not start. An order that is carried out before the stop arrives, or before the worker is listed again, is not prevented by this.

--- a/mfsched/adopt.go
+++ b/mfsched/adopt.go
@@ -26,7 +26,7 @@
 		d.Fields["known_worker"] = t.worker.at.Worker
 	}
 	s.emit(d)
-	s.release(t)
+	s.release(t, now)
 	s.assign(t, w, phaseUnresolved)
 	t.run, t.inheritedAt = r.Run, now
 	s.markDirty(t.job)
--- a/mfsched/former.go
+++ b/mfsched/former.go
@@ -1,6 +1,8 @@
 package mfsched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mothferry"
@@ -15,24 +17,87 @@
 // A worker may start again under its id. Without it, what still comes of the former incarnation
 // would be taken for news of the new one.
 type formerWorker struct {
-	removedAt time.Time
+	removedAt  time.Time
+	lateStarts map[runID]lateStart
+}
+
+// lateStart is a run that was released at a time though so many orders to start it had no answer.
+//
+// The incarnation that they were sent to refuses them: it has ended the run, was ordered to stop it,
+// or its clock has passed the lease. A later incarnation under its id knows neither and would carry
+// them out.
+type lateStart struct {
+	releasedAt time.Time
+	unanswered int
+}
+
+// recordLateStart records a run that is released.
+func (w *worker) recordLateStart(t *task, now time.Time) {
+	unanswered := t.startsSent - t.startsAnswered
+	if unanswered <= 0 {
+		return
+	}
+	if w.lateStarts == nil {
+		w.lateStarts = map[runID]lateStart{}
+	}
+	w.lateStarts[runID{task: t.name, run: t.run}] = lateStart{releasedAt: now, unanswered: unanswered}
+}
+
+// lateStartAnswered records that an order to start a run was answered after the run was released.
+func (s *State) lateStartAnswered(id mothferry.WorkerID, r runID) {
+	late := s.former[id].lateStarts
+	if w, ok := s.workers[id]; ok {
+		late = w.lateStarts
+	}
+	start, known := late[r]
+	if !known {
+		return
+	}
+	if start.unanswered--; start.unanswered <= 0 {
+		delete(late, r)
+		return
+	}
+	late[r] = start
+}
+
+// stopLateStarts has a new incarnation refuse what was ordered of earlier ones and may yet arrive.
+func (s *State) stopLateStarts(w *worker, now time.Time) {
+	for _, r := range slices.SortedFunc(maps.Keys(w.lateStarts), compareRuns) {
+		s.stopOrphan(w, r, time.Time{}, now)
+	}
+}
+
+func expireLateStarts(late map[runID]lateStart, now time.Time) {
+	for r, start := range late {
+		if now.Sub(start.releasedAt) > formerRetention {
+			delete(late, r)
+		}
+	}
 }
 
 // returned applies what is kept of a worker that is listed again under its id.
 func (s *State) returned(w *worker, now time.Time) {
-	if _, known := s.former[w.at.Worker]; !known {
+	former, known := s.former[w.at.Worker]
+	if !known {
 		return
 	}
 	delete(s.former, w.at.Worker)
+	w.lateStarts = former.lateStarts
 	w.restartedAt, w.priorLeaseEnd = now, now.Add(s.Limits.LeaseExpiryBound())
 }
 
-// expireFormer forgets the workers that were removed more than formerRetention ago.
+// expireFormer forgets the workers that were removed, and the runs that were released, more than
+// formerRetention ago.
 func (s *State) expireFormer(now time.Time) {
+	for _, w := range s.sortedWorkers {
+		expireLateStarts(w.lateStarts, now)
+	}
 	for id, f := range s.former {
 		if now.Sub(f.removedAt) > formerRetention {
 			delete(s.former, id)
+			continue
 		}
+		expireLateStarts(f.lateStarts, now)
 	}
 }
 
--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -97,6 +97,7 @@
 	s.dropOrphans(w)
 	w.beginIncarnation(now, s.Limits)
 	delete(s.endsInCommit, w.at.Worker)
+	s.stopLateStarts(w, now)
 	for _, t := range w.tasksWhere(func(t *task) bool { return t.phase != phasePlanned }) {
 		t.phase, t.stopAnsweredAt, t.stopSentAt = phaseUnresolved, time.Time{}, time.Time{}
 	}
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -123,7 +123,7 @@
 		switch {
 		case p.Done:
 			t.job.started = true
-			s.finishTask(t)
+			s.finishTask(t, now)
 		case x < len(p.Tasks):
 			s.restoreTask(t, p.Tasks[x], now)
 		}
@@ -137,7 +137,7 @@
 		t.job.started = true
 	}
 	if p.Done {
-		s.finishTask(t)
+		s.finishTask(t, now)
 		return
 	}
 	if p.Worker == "" {
@@ -156,14 +156,14 @@
 }
 
 // finishTask marks a task as done and releases its worker and that of its copy.
-func (s *State) finishTask(t *task) {
+func (s *State) finishTask(t *task, now time.Time) {
 	if t.phase == phaseDone {
 		return
 	}
 	if t.copyTask != nil {
-		s.release(t.copyTask)
+		s.release(t.copyTask, now)
 	}
-	s.release(t)
+	s.release(t, now)
 	t.step.waiting--
 	t.phase = phaseDone
 	t.step.remaining--
@@ -183,10 +183,11 @@
 
 // release frees a task's capacity on its worker. The task waits again, unless it is a copy or
 // its own copy takes its place.
-func (s *State) release(t *task) {
+func (s *State) release(t *task, now time.Time) {
 	if t.worker == nil {
 		return
 	}
+	t.worker.recordLateStart(t, now)
 	t.worker.tasks.remove(t)
 	t.worker.used = t.worker.used.Sub(t.step.spec.Reservation())
 	t.job.account.removeUsage(t.step.spec.Need)
@@ -280,7 +281,7 @@
 func (s *State) stop(t *task, now time.Time) {
 	if t.phase == phasePlanned {
 		// The start order was never sent and never will be.
-		s.release(t)
+		s.release(t, now)
 		s.markDirty(t.job)
 		return
 	}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -208,7 +208,7 @@
 // requeue returns a task to waiting whose run is known to have ended.
 func (s *State) requeue(t *task, reason releaseReason, now time.Time) {
 	t.rememberRun(reason, now)
-	s.release(t)
+	s.release(t, now)
 	t.unavailableSince = now
 	s.markDirty(t.job)
 }
@@ -250,7 +250,7 @@
 	switch {
 	case t.step.spec.Gang:
 		for _, member := range t.step.tasks {
-			s.finishTask(member)
+			s.finishTask(member, now)
 		}
 	default:
 		if t.copyTask != nil {
@@ -258,7 +258,7 @@
 			s.stopElsewhere(t.copyTask, w, now)
 		}
 		s.stopElsewhere(t, w, now)
-		s.finishTask(t)
+		s.finishTask(t, now)
 	}
 	if t.step.remaining == 0 {
 		s.stepDone(t.job, now)
@@ -319,6 +319,9 @@
 	}
 	t := s.lookUpAt(e.Task, e.Worker)
 	if t == nil || t.run != e.Run || t.worker == nil || t.worker.at.Worker != e.Worker {
+		if e.Result != ResultUnknown {
+			s.lateStartAnswered(e.Worker, runID{task: e.Task, run: e.Run})
+		}
 		return
 	}
 	t.relay, t.startResult, t.startAnsweredAt = e.Relay, e.Result, now
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -65,6 +65,9 @@
 	// orphans holds the runs that should not be there and are not confirmed to have ended.
 	orphans map[runID]orphan
 
+	// lateStarts holds the runs that were released while orders to start them had no answer.
+	lateStarts map[runID]lateStart
+
 	// trial is the task that was last tried here because it may crash its workers, expiredRuns
 	// holds the runs whose leases expired here since the worker last answered.
 	trial       *task
@@ -143,6 +146,9 @@
 	w, ok := s.workers[l.At.Worker]
 	if !ok {
 		w = s.addWorker(l.At.Worker)
+	}
+	known := w.restartedAt
+	if !ok {
 		s.returned(w, now)
 	}
 	if !w.acceptListing(l.StartedAt, now, s.Limits) {
@@ -160,6 +166,9 @@
 		w.openPolls, w.nextPoll = nil, now
 	}
 	w.Worker, w.at, w.listed = l, l.At, true
+	if !w.restartedAt.Equal(known) {
+		s.stopLateStarts(w, now)
+	}
 }
 
 func (s *State) workerUnlisted(id mothferry.WorkerID, now time.Time) {
@@ -303,7 +312,7 @@
 
 // removeWorker removes an incarnation that has ended, or is neither listed nor has work.
 func (s *State) removeWorker(w *worker, now time.Time) {
-	s.former[w.at.Worker] = formerWorker{removedAt: now}
+	s.former[w.at.Worker] = formerWorker{removedAt: now, lateStarts: w.lateStarts}
 	s.dropOrphans(w)
 	delete(s.workers, w.at.Worker)
 	if at, found := slices.BinarySearchFunc(s.sortedWorkers, w.at.Worker, byID); found {
