mfsched: a start answered after a new incarnation was polled may run

A caller could see a task run twice: its start was refused once and sent again, the worker restarted under its id, and the second order was carried out and answered after the new incarnation had composed its first answer to a poll, which was handled later. The run was missing from that answer, all orders had been answered, and the task started elsewhere: that an answer to the start came after the poll was sent was known only if it confirmed the run, which one that comes after a refusal doesn't do. The time of the last answer to a start is kept for itself.

TestStartAnsweredAfterPollMayRun fails without the change, for finite and lasting tasks and gangs.

--- a/mfsched/copy.go
+++ b/mfsched/copy.go
@@ -80,7 +80,8 @@
 	t.copyTask = nil
 	t.step.waiting--
 	t.phase, t.run, t.worker = c.phase, c.run, c.worker
-	t.startsSent, t.startsPending, t.startsAnswered, t.lastStartSent = c.startsSent, c.startsPending, c.startsAnswered, c.lastStartSent
+	t.startsSent, t.startsPending, t.startsAnswered = c.startsSent, c.startsPending, c.startsAnswered
+	t.lastStartSent, t.startAnsweredAt = c.lastStartSent, c.startAnsweredAt
 	t.inheritedAt, t.confirmedAt, t.stopAnsweredAt, t.stopSentAt = c.inheritedAt, c.confirmedAt, c.stopAnsweredAt, c.stopSentAt
 	t.percent, t.unchangedFor, t.track = c.percent, c.unchangedFor, c.track
 	if c.checkpoint != "" && c.checkpointPercent >= t.checkpointPercent {
--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -129,5 +129,5 @@
 // this owner to start the task's run: one that has no answer, or whose answer came after the
 // poll was sent. An order of a previous owner is refused once the incarnation has answered.
 func (t *task) mayStartLate(polledAt time.Time) bool {
-	return t.startsSent > t.startsAnswered || t.startsSent > 0 && !t.confirmedAt.Before(polledAt)
+	return t.startsSent > t.startsAnswered || t.startsSent > 0 && !later(t.confirmedAt, t.startAnsweredAt).Before(polledAt)
 }
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -201,8 +201,8 @@
 	t.step.waiting++
 	t.percent, t.tailLatency, t.stopAnsweredAt, t.stopSentAt, t.confirmedAt = 0, 0, time.Time{}, time.Time{}, time.Time{}
 	t.pace, t.inheritedAt, t.startsSent = fullPace, time.Time{}, 0
-	t.startsPending, t.startsAnswered, t.lastStartSent = 0, 0, time.Time{}
-	t.relay, t.startResult, t.startAnsweredAt = "", "", time.Time{}
+	t.startsPending, t.startsAnswered, t.lastStartSent, t.startAnsweredAt = 0, 0, time.Time{}, time.Time{}
+	t.relay, t.startResult, t.startResultAt = "", "", time.Time{}
 	t.track = mfspeed.Track{}
 	if t.copyTask != nil {
 		s.promoteCopy(t)
--- a/mfsched/late_start_test.go
+++ b/mfsched/late_start_test.go
@@ -142,3 +142,27 @@
 		assert.Equal(t, s.stopsOf(first), 0)
 	}
 }
+
+// Guards against two runs of a task: its start is refused once and sent again, the worker restarts
+// under its id, and the second order is carried out and answered after the new incarnation was
+// polled, but before the poll's answer is handled, which doesn't show the run.
+func TestStartAnsweredAfterPollMayRun(t *testing.T) {
+	for kind, change := range kindsOfSteps {
+		t.Run(kind, func(t *testing.T) {
+			s, first := unansweredStart(t, change)
+			again := s.resentStart()
+			s.answerStart(first, mfsched.ResultRefused, mothferry.RefusalCapacity)
+			takeCommands[mfsched.Poll](s)
+			s.listIncarnation("w", secondIncarnation)
+			s.advance(10 * time.Millisecond)
+			polls := takeCommands[mfsched.Poll](s)
+			polled := s.now
+			assert.Equal(t, polls[0].At.Worker, mothferry.WorkerID("w"))
+			s.advance(10 * time.Millisecond)
+			s.answerStart(again, mfsched.ResultDone, "")
+			s.advance(10 * time.Millisecond)
+			s.step(mfsched.PollAnswered{Worker: "w", Number: polls[0].Number, Sent: polled, Report: mothferry.PollReport{StartedAt: secondIncarnation, Clock: mothferry.WorkerClock(time.Second)}})
+			assert.Equal(t, len(s.acceptStarts(200*time.Millisecond)), 0, "it runs in the new incarnation")
+		})
+	}
+}
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -324,10 +324,11 @@
 		}
 		return
 	}
-	t.relay, t.startResult, t.startAnsweredAt = e.Relay, e.Result, now
+	t.relay, t.startResult, t.startResultAt = e.Relay, e.Result, now
 	s.logSlowStart(t, e, now)
 	if e.Result != ResultUnknown {
 		t.startsAnswered++
+		t.startAnsweredAt = now
 	}
 	switch e.Result {
 	case ResultDone:
--- a/mfsched/restartlog.go
+++ b/mfsched/restartlog.go
@@ -55,7 +55,7 @@
 	}
 	t.former = &formerRun{
 		run: t.run, worker: t.worker.at.Worker, relay: t.relay, sends: t.startsSent, sentAt: t.lastStartSent,
-		answered: t.startResult, answeredAt: t.startAnsweredAt, confirmedAt: t.confirmedAt, phase: t.phase,
+		answered: t.startResult, answeredAt: t.startResultAt, confirmedAt: t.confirmedAt, phase: t.phase,
 		inherited: t.startsSent == 0, released: reason, releasedAt: now,
 	}
 }
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -63,14 +63,16 @@
 	// is when the last one was sent.
 	startsSent, startsPending, startsAnswered int
 	lastStartSent                             time.Time
-	// relay, startResult and startAnsweredAt tell of the last answer to a start of the run, former
-	// of the run before it; nil if there was none.
-	relay           mothferry.DaemonID
-	startResult     OrderResult
+	// startAnsweredAt is when a start order was last answered.
 	startAnsweredAt time.Time
-	former          *formerRun
-	failures        int
-	checkpoint      mothferry.Checkpoint
+	// relay, startResult and startResultAt tell of the last answer to a start of the run, former
+	// of the run before it; nil if there was none.
+	relay         mothferry.DaemonID
+	startResult   OrderResult
+	startResultAt time.Time
+	former        *formerRun
+	failures      int
+	checkpoint    mothferry.Checkpoint
 	// checkpointPercent is the percentage at which the checkpoint is known to have been taken;
 	// zero if that is not known. checkpointAhead reports whether the checkpoint is from a run
 	// that had done more than the current one.
