mfsched: a new incarnation's first poll forgets none of its ends

A caller could see a task run again after its work was done, and its job take longer: an incarnation that was listed was polled with the number of the last end of the former one until its first answer. Orders for the former one may have reached it before, and it forgot their ends up to that number before they were seen; the runs were missing, and their tasks started again. A commit in flight set the number once more. Ends count from one as soon as a newer incarnation is listed.

The test fails without the change.

--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -19,7 +19,7 @@
 
 // acceptListing reports whether a worker's entry is of the newest known incarnation, or of a
 // newer one. A newer one is polled at once: only its answer shows what it runs, since orders
-// meant for the previous incarnation may have reached it already.
+// meant for the previous incarnation may have reached it already. Ends are numbered anew.
 //
 // An entry that is older than the one before, and not than what has answered, is accepted as a
 // newer one is: another writer may have left a start in the future, after which the worker's own
@@ -33,6 +33,7 @@
 	}
 	w.fenced, w.openPolls, w.nextPoll = false, nil, now
 	w.restartedAt, w.priorLeaseEnd = now, now.Add(l.LeaseExpiryBound())
+	w.lastEndSeen, w.lastEndStored = 0, 0
 	return true
 }
 
--- a/mfsched/incarnation_test.go
+++ b/mfsched/incarnation_test.go
@@ -346,3 +346,29 @@
 	}
 	assert.Assert(t, polls > 1 && polls <= 10, "%d polls in 0.4 s", polls)
 }
+
+// Guards against an end that is lost, and its task started again: the first poll of an incarnation
+// that is listed carried the number of the last end of the former one, and the new one forgot its
+// own ends up to that number before they were seen.
+func TestPollOfListedIncarnationForgetsNoEnds(t *testing.T) {
+	for _, committing := range []bool{false, true} {
+		s, starts := runningInFirstIncarnation(t, 1)
+		s.answerStart(starts[0], mfsched.ResultDone, "")
+		s.answerAs("w", firstIncarnation, mothferry.PollReport{
+			Ended: []mothferry.EndedTask{{Number: 7, Task: starts[0].Order.Task, Run: 1, Cause: mothferry.EndDone}},
+		})
+		if committing {
+			s.now = s.now.Add(30 * time.Millisecond)
+			s.step(mfsched.Tick{})
+		} else {
+			s.advance(100 * time.Millisecond)
+		}
+		takeCommands[mfsched.Poll](s)
+		s.listIncarnation("w", secondIncarnation)
+		s.storeCommits()
+		s.advance(50 * time.Millisecond)
+		polls := takeCommands[mfsched.Poll](s)
+		assert.Equal(t, len(polls), 1)
+		assert.Equal(t, polls[0].Order.LastEndSeen, mothferry.EndNumber(0), "committing %v", committing)
+	}
+}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -167,6 +167,7 @@
 	}
 	w.Worker, w.at, w.listed = l, l.At, true
 	if !w.restartedAt.Equal(known) {
+		delete(s.endsInCommit, l.At.Worker)
 		s.stopLateStarts(w, now)
 	}
 }
