mfrecord: a row that no host can have written names no host

Another writer's row among the hosts' was used as a host with millicores, beside which all others count as weak, so that relays were chosen without regard to their strength, with a name for an address, which is looked up, or with port 0 or 72000; a number of 60,000 digits had an error, and a log line, of 60 kB. Such rows now fail with ErrInvalidHost, and the directory goes on without them, as it did for rows that are no JSON.

TestForeignHostRowsAreRefused failed on the decoder before.

--- a/mfrecord/host.go
+++ b/mfrecord/host.go
@@ -3,6 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/gravitational/trace"
 
@@ -45,20 +49,55 @@
 	return fmt.Sprintf("decode host row: format %d is newer than the supported format %d", e.Format, hostFormat)
 }
 
+// ErrInvalidHost reports a host row that no host has written.
+type ErrInvalidHost struct{ Field string }
+
+// Error implements error.
+func (e *ErrInvalidHost) Error() string {
+	return fmt.Sprintf("decode host row: %s is invalid", e.Field)
+}
+
+const (
+	// maxHostBytes bounds a host's row, of which a host writes some hundred bytes.
+	maxHostBytes = 4096
+	// maxHostCores is beyond any host.
+	maxHostCores mothferry.Millicores = 1 << 30
+)
+
 // Encode returns the stored form.
 func (h Host) Encode() ([]byte, error) {
 	data, err := json.Marshal(storedHost{Format: hostFormat, DataCentre: h.DataCentre, Address: h.Address, Forward: h.Forward, Cores: h.Cores})
 	return data, trace.Wrap(err)
 }
 
-// DecodeHost decodes the row of a host. The key is the daemon's ID.
+// DecodeHost decodes the row of a host. The key is the daemon's ID. It fails with ErrInvalidHost if no
+// host can have written the row: one with cores beyond any host's would make all others weak ones,
+// and a name for an address would have to be looked up.
 func DecodeHost(key mothferry.Key, data []byte) (Host, error) {
 	var s storedHost
-	if err := json.Unmarshal(data, &s); err != nil {
-		return Host{}, trace.Wrap(err)
+	if len(data) > maxHostBytes || json.Unmarshal(data, &s) != nil {
+		return Host{}, &ErrInvalidHost{"its form"}
 	}
-	if s.Format > hostFormat {
+	switch {
+	case s.Format > hostFormat:
 		return Host{}, &ErrNewerHost{s.Format}
+	case key == "" || strings.ContainsFunc(string(key), func(r rune) bool { return r == utf8.RuneError || !unicode.IsGraphic(r) }):
+		return Host{}, &ErrInvalidHost{"its key"}
+	case !isAddress(s.Address):
+		return Host{}, &ErrInvalidHost{"address"}
+	case !isAddress(s.Forward):
+		return Host{}, &ErrInvalidHost{"forward"}
+	case s.Cores < 0 || s.Cores > maxHostCores:
+		return Host{}, &ErrInvalidHost{"cores"}
 	}
 	return Host{Daemon: mothferry.DaemonID(key), DataCentre: s.DataCentre, Address: s.Address, Forward: s.Forward, Cores: s.Cores}, nil
 }
+
+// isAddress reports whether a text is an IP address and port, or empty.
+func isAddress(text string) bool {
+	if text == "" {
+		return true
+	}
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast() && a.Addr().Zone() == ""
+}
--- a/mfrecord/record_test.go
+++ b/mfrecord/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +99,24 @@
 	_, ok = mfrecord.CancelOf(mfrecord.EarlyCancelKey("5c0e7a21d94b36f8", ""))
 	assert.Assert(t, !ok)
 }
+
+// foreignHostRows are rows that no host writes.
+var foreignHostRows = []string{
+	"", "[]", "\x00\xff", `{"cores":1e30}`, `{"cores":9223372036854775807}`, `{"cores":-1}`, `{"cores":0.5}`, `{"address":"10.0.0.1:72000"}`, `{"address":"10.0.0.1:0"}`,
+	`{"address":"10.0.0.1:-1"}`, `{"address":"host:7060"}`, `{"address":"10.0.0.1:7060\n"}`, `{"forward":"10.0.0.1"}`, `{"forward":"0.0.0.0:7061"}`, `{"address":7}`,
+	`{"data_centre":"` + strings.Repeat("x", 60_000) + `"}`, `{"cores":` + strings.Repeat("9", 60_000) + `}`, strings.Repeat("[", 65_536), strings.Repeat(`{"address":`, 2000),
+}
+
+// Guards against relays that are chosen without regard to their strength, and addresses that are
+// looked up as names, after another writer has left a row among those of the hosts.
+func TestForeignHostRowsAreRefused(t *testing.T) {
+	for _, text := range foreignHostRows {
+		_, err := mfrecord.DecodeHost("h-1", []byte(text))
+		assert.ErrorType(t, err, &mfrecord.ErrInvalidHost{}, "%.100s", text)
+		assert.Assert(t, len(err.Error()) < 200)
+	}
+	for _, key := range []mothferry.Key{"", "h\n", "\xff", "\x00"} {
+		_, err := mfrecord.DecodeHost(key, []byte(`{"format":1,"data_centre":"a","address":"10.0.0.1:7060","cores":400}`))
+		assert.ErrorType(t, err, &mfrecord.ErrInvalidHost{}, "%q", key)
+	}
+}
