Pages of a table end whatever their last key is

Each page of a table is asked for from the last key of the one before and a zero byte. A key of 200 bytes, which is as long as the store takes, then makes one of 201, which a store may refuse: the table was never read in full, and the owner followed nothing. A key that is not UTF-8 arrives as another one in JSON, which may be before the page: the same page came again without end, and its rows were kept each time.

The next page now starts with the first key after the last one that the store takes, and passes over what has the valid first part of a broken key in common.

--- a/mffeed/follower.go
+++ b/mffeed/follower.go
@@ -268,7 +268,9 @@
 		if len(page.Rows) == 0 {
 			return nil, 0, &ErrIncomplete{Table: q.Table, Part: q.Part}
 		}
-		q.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+		if q.From = mothferry.NextPage(q.From, page.Rows[len(page.Rows)-1].Key); q.From == "" {
+			return rows, version, nil
+		}
 	}
 }
 
--- a/mfrelay/directory.go
+++ b/mfrelay/directory.go
@@ -102,9 +102,13 @@
 			return nil, err
 		}
 		d.merge(known, page.Rows)
-		if !page.More || len(page.Rows) == 0 {
+		if page.More && len(page.Rows) > 0 {
+			q.From = mothferry.NextPage(q.From, page.Rows[len(page.Rows)-1].Key)
+		} else {
+			q.From = ""
+		}
+		if q.From == "" {
 			return slices.Collect(maps.Values(known)), nil
 		}
-		q.From = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 }
--- a/platform.go
+++ b/platform.go
@@ -2,12 +2,62 @@
 
 import (
 	"context"
+	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // Key names a row of the platform's table.
 type Key string
 
+// MaxKeyBytes is how long a key may be.
+const MaxKeyBytes = 200
+
+// after returns the first key after k; empty if there is none.
+func (k Key) after() Key {
+	if len(k) < MaxKeyBytes {
+		return k + "\x00"
+	}
+	return k.afterPrefix()
+}
+
+// afterPrefix returns the first key after all that begin with k; empty if there is none.
+func (k Key) afterPrefix() Key {
+	for k != "" {
+		r, size := utf8.DecodeLastRuneInString(string(k))
+		k = k[:len(k)-size]
+		if r++; r == firstSurrogate {
+			r = lastSurrogate + 1
+		}
+		if utf8.ValidRune(r) && len(k)+utf8.RuneLen(r) <= MaxKeyBytes {
+			return k + Key(r)
+		}
+	}
+	return ""
+}
+
+const (
+	firstSurrogate rune = 0xD800
+	lastSurrogate  rune = 0xDFFF
+)
+
+// NextPage returns the key from which to read on after a page that was read from one key and ends
+// with another; empty if nothing can follow.
+//
+// A key that is not UTF-8 arrives as another one, which may be before all that the page was asked
+// for: the same page would come again, without end. All keys with the same valid beginning are then
+// passed over.
+func NextPage(from, last Key) Key {
+	if next := last.after(); next > from || next == "" {
+		return next
+	}
+	valid, _, _ := strings.Cut(string(last), string(utf8.RuneError))
+	if next := Key(valid).afterPrefix(); next > from {
+		return next
+	}
+	return ""
+}
+
 // Row is one row of the platform's table.
 type Row struct {
 	// Table and Part are empty where the store has only one table.
