mfemulate: owners that lost the store go on beside successors that can't reach a worker

The lease of a worker that only a deposed owner reaches runs until its last poll's, and its successor has to wait for that.

--- a/mfemulate/late.go
+++ b/mfemulate/late.go
@@ -98,10 +98,11 @@
 // call carries a call to a worker and its answer back. Deliver gets the incarnation that has
 // the worker's id when the call arrives, and a function that returns the answer; ended is called if
 // it is over. The connections break if the incarnation ends before it handles the call.
-func (w *World) call(p path, id mothferry.WorkerID, deliver func(k *worker, answer func(func())), ended func()) {
+func (o *owner) call(p path, id mothferry.WorkerID, deliver func(k *worker, answer func(func())), ended func()) {
+	w := o.world
 	w.after(p.there, func() {
 		k := w.workers[id]
-		if k == nil || k.unreachable {
+		if k == nil || !k.reachableBy(o.epoch, w.now) {
 			return
 		}
 		answer := func(f func()) { w.after(p.back, f) }
@@ -110,7 +111,7 @@
 			return
 		}
 		w.after(p.worker, func() {
-			if !k.ended && !k.unreachable {
+			if !k.ended && k.reachableBy(o.epoch, w.now) {
 				deliver(k, answer)
 			}
 		})
@@ -137,7 +138,7 @@
 			return
 		}
 		lost := w.chance(w.Faults.LoseAnswer)
-		w.call(p, id, func(k *worker, answer func(func())) {
+		o.call(p, id, func(k *worker, answer func(func())) {
 			r, refusal := resultOf(w.carryOut(k, origin{epoch: o.epoch, via: p.via, decided: decided, sent: sent}, execute))
 			if !lost {
 				answer(func() { end(r, refusal) })
@@ -176,12 +177,12 @@
 			return
 		}
 		if w.chance(w.Late.Resend) {
-			w.call(w.path(), id, func(k *worker, _ func(func())) {
+			o.call(w.path(), id, func(k *worker, _ func(func())) {
 				_ = k.poll(v.Order, func(mothferry.PollReport) {}, func() {})
 			}, func() {})
 		}
 		lost := w.chance(w.Faults.LoseAnswer)
-		w.call(p, id, func(k *worker, answer func(func())) {
+		o.call(p, id, func(k *worker, answer func(func())) {
 			err := k.poll(v.Order, func(r mothferry.PollReport) {
 				if !lost {
 					answer(func() { end(mfsched.PollAnswered{Worker: id, Number: v.Number, Sent: sent, Report: r}) })
@@ -194,6 +195,20 @@
 	})
 }
 
+// CutFromSuccessors keeps owners of later epochs than the present one from reaching a machine's
+// worker for d.
+func (w *World) CutFromSuccessors(index int, d time.Duration) {
+	k := w.workers[w.machines[index%len(w.machines)].worker]
+	if k != nil {
+		k.cutFromEpoch, k.cutUntil = w.epoch+1, w.now.Add(d)
+	}
+}
+
+// reachableBy reports whether calls of the owner of an epoch reach the worker.
+func (o *worker) reachableBy(epoch mothferry.Epoch, now time.Time) bool {
+	return !o.unreachable && (o.cutFromEpoch == 0 || epoch < o.cutFromEpoch || !now.Before(o.cutUntil))
+}
+
 // StallOwner lets the owner's loop stand still for d. Answers queue up meanwhile, and the owner
 // goes on as the owner that it believes to be.
 func (w *World) StallOwner(d time.Duration) {
--- a/mfemulate/late_test.go
+++ b/mfemulate/late_test.go
@@ -27,8 +27,9 @@
 // List: lists of machines are answered late. Lost: calls and answers are lost. Stall: the owner's
 // loop stands still. Relay: a relay holds all calls for a while. Takeover: owners end, freeze or
 // lose the store. Crash: workers end, and others start on their machines. Cut: workers can't be
-// reached. Unlist: workers lose their entry while they run.
-var usualLateness = []string{"send", "hold", "answer", "resend", "worker", "commit", "list", "lost", "stall", "relay", "takeover", "crash", "cut", "unlist"}
+// reached. Unlist: workers lose their entry while they run. Handover: an owner that has lost the store
+// goes on, and its successor can't reach a worker for a while.
+var usualLateness = []string{"send", "hold", "answer", "resend", "worker", "commit", "list", "lost", "stall", "relay", "takeover", "crash", "cut", "unlist", "handover"}
 
 // Histories in which calls, answers, commits, lists and the owner are late, while orders overtake
 // each other on several ways to a worker and owners change. No task may have two runs at the same
@@ -152,6 +153,13 @@
 		i, d, how := r.IntN(13), between(100*time.Millisecond, 2500*time.Millisecond), mfemulate.Hidden(1+r.IntN(2))
 		w.At(at, func() { w.HideMachine(i, how, d) })
 	})
+	times("handover", 2, func(at time.Duration) {
+		i, delay, d := r.IntN(5), between(300*time.Millisecond, 2*time.Second), between(5*time.Second, 12*time.Second)
+		w.At(at, func() {
+			w.CutFromSuccessors(i, d)
+			w.PartitionOwner(delay)
+		})
+	})
 	w.At(faultPeriod+3*time.Second, func() {
 		w.Faults = mfemulate.Faults{ReuseID: faults.ReuseID}
 		w.Late = mfemulate.Lateness{Claims: true}
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -19,6 +19,9 @@
 	// ended is set once the incarnation has ended, unreachable while no call reaches it.
 	ended       bool
 	unreachable bool
+	// cutFromEpoch is the first epoch whose owner can't reach it until cutUntil; zero for none.
+	cutFromEpoch mothferry.Epoch
+	cutUntil     time.Time
 	// unreachableUntil is the end of the last partition.
 	unreachableUntil time.Time
 	// startedAt is when the worker started, at which its clock begins.
