mfowner: a delete of former progress spares a job that was handed in again

A job that is handed in again after its retention gets a row of its own with its first start. The delete of its former progress waits for a commit with room; in the same commit or a later one it removed the new row. The job went on under its owner, but the next owner would have found its submission without progress and started all of its tasks again beside their runs. A commit that holds a job now takes it out of the pending deletes, as it overwrites the former row anyway. TestDeleteOfFormerProgressSparesNewJob failed before the change (no row left of 1).

--- a/mfowner/commit.go
+++ b/mfowner/commit.go
@@ -2,11 +2,13 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
 	"mothferry"
+	"mothferry/mfjob"
 	"mothferry/mfjournal"
 	"mothferry/mfrecord"
 	"mothferry/mfsched"
@@ -30,6 +32,7 @@
 	snapshot := head
 	snapshot.ReadAt, snapshot.FirstReadAt = now, now
 	s.owner.lastHead.Store(&snapshot)
+	s.keepProgressOf(c.Progress)
 	rows = append(rows, s.progressDeletes(mfjournal.MaxRows-len(rows))...)
 	rows = append(rows, s.waveRows()...)
 	s.activity.rows += len(rows)
@@ -46,6 +49,15 @@
 	}()
 }
 
+// keepProgressOf takes jobs out of those whose progress is still to be deleted: they were handed in
+// again, and what is stored now is theirs.
+func (s *session) keepProgressOf(stored map[mothferry.JobID]mfjob.Progress) {
+	s.progressToDelete = slices.DeleteFunc(s.progressToDelete, func(id mothferry.JobID) bool {
+		_, again := stored[id]
+		return again
+	})
+}
+
 // maxUncheckedCounts is the number of entries up to which the head fits a row without a check.
 const maxUncheckedCounts = 100
 
--- a/mfowner/follow_test.go
+++ b/mfowner/follow_test.go
@@ -9,8 +9,10 @@
 	"mothferry"
 	"mothferry/mfclock"
 	"mothferry/mfjob"
+	"mothferry/mfjournal"
 	"mothferry/mfrecord"
 	"mothferry/mfsched"
+	"mothferry/mfstandin"
 )
 
 // The submission of a finished job must reach the scheduler: its runs may still occupy
@@ -44,3 +46,25 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, finished.Job, mothferry.JobID("j"))
 }
+
+// Guards against a task that is started again by the next owner while it runs: its job was handed in
+// again after it had been deleted, and the delete of its former progress, which waits for a commit with
+// room, removes the progress of the new one.
+func TestDeleteOfFormerProgressSparesNewJob(t *testing.T) {
+	rows := &mfstandin.Rows{}
+	o, _ := newTestOwner("h-1", rows)
+	c := &committer{store: rows, clock: o.Clock}
+	assert.NilError(t, c.write(context.Background(), mfrecord.Head{Holder: "h-1", Epoch: 1, Cores: 800}, nil))
+	s := &session{
+		owner: o, committer: c, state: mfsched.New(o.Limits, 1, o.Clock.Now(), o.Clock.Now()), machines: newMachineControl(nil), journal: &mfjournal.Journal{},
+		commitResult: make(chan error, 1), commits: context.Background(), progressToDelete: []mothferry.JobID{"j", "other"},
+	}
+	running := mfjob.Progress{State: mfjob.StateRunning, Occurrences: [][]mfjob.StepProgress{{{Tasks: []mfjob.TaskProgress{{Run: 1, Worker: "w"}}}}}}
+	for number := range 2 {
+		s.commit(mfsched.Commit{Number: number, Progress: map[mothferry.JobID]mfjob.Progress{"j": running}})
+		assert.NilError(t, <-s.commitResult)
+	}
+	stored := shardRows(t, rows, mfrecord.TableProgress)
+	assert.Equal(t, len(stored), 1, "rows of progress")
+	assert.Equal(t, stored[0].Key, mothferry.Key("j"))
+}
