mfowner: progress from before a takeover is used once

An owner kept what its predecessor had stored of each job for as long as it owned the shard. A job that was handed in again after it had been deleted got the progress of the former one: tasks that were done then counted as done, and runs as being on their former workers. The stored progress is now dropped once all stored jobs have been passed to the scheduler, which knows them from then on. TestJobHandedInAgainAfterDeletionIsNew failed before the change (the former progress).

--- a/mfowner/follow.go
+++ b/mfowner/follow.go
@@ -26,6 +26,9 @@
 		defer s.jobsLoadedOnce.Do(func() {
 			s.owner.Log.WithField("rows", len(rows)).Info("inbox read")
 			s.post(mfsched.JobsLoaded{})
+			// A row that comes for one of these jobs from now on is of a job handed in again. The
+			// scheduler knows all that are not deleted.
+			s.progress = nil
 			close(s.jobsLoaded)
 		})
 	}
--- a/mfowner/follow_test.go
+++ b/mfowner/follow_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
 	"mothferry"
@@ -47,6 +49,30 @@
 	assert.Equal(t, finished.Job, mothferry.JobID("j"))
 }
 
+// Guards against a job that is taken for partly done though it is new: what a previous owner stored of
+// an earlier job with the id is deleted by now.
+func TestJobHandedInAgainAfterDeletionIsNew(t *testing.T) {
+	loaded := make(chan struct{})
+	close(loaded)
+	lines := log.NewEntry(&log.Logger{Handler: memory.New(), Level: log.InfoLevel})
+	s := &session{
+		owner: &Owner{Clock: mfclock.System{}, Log: lines}, events: make(chan queuedEvent, 3), progressLoaded: loaded, jobsLoaded: make(chan struct{}), ctx: context.Background(),
+		progress: map[mothferry.JobID]*mfjob.Progress{"j": {State: mfjob.StateRunning}},
+	}
+	value, err := mfjob.EncodeSubmission(mfjob.Submission{Queue: "q", Service: "s", Steps: []mfjob.Step{{Count: 2}}})
+	assert.NilError(t, err)
+	rows := []mothferry.Row{{Key: mfrecord.JobKey("j"), Value: value}}
+	s.applyInbox(rows, true)
+	found, ok := (<-s.events).Event.(mfsched.JobFound)
+	assert.Assert(t, ok)
+	assert.Assert(t, found.Progress != nil, "the progress that a previous owner stored is used")
+	assert.Equal(t, (<-s.events).Event, mfsched.JobsLoaded{})
+	s.applyInbox(rows, false)
+	found, ok = (<-s.events).Event.(mfsched.JobFound)
+	assert.Assert(t, ok)
+	assert.Assert(t, found.Progress == nil, "%+v", found.Progress)
+}
+
 // Guards against a task that is started again by the next owner while it runs: its job was handed in
 // again after it had been deleted, and the delete of its former progress, which waits for a commit with
 // room, removes the progress of the new one.
--- a/mfowner/session.go
+++ b/mfowner/session.go
@@ -61,7 +61,7 @@
 	activity       activity
 	times          loopTimes
 	// journal encodes the stored progress of jobs; progress is what was stored before this
-	// ownership.
+	// ownership, until all stored jobs have been passed to the scheduler.
 	journal *mfjournal.Journal
 	// publishedShares is the allocation last published to hosts, sharesComputedAt when it was
 	// computed.
