mfrelay: a relay counts an order's time from when its owner wrote it

Callers could see a task run twice: a relay that got no processor time for seconds, or was suspended, carried out starts that its owner had long given up on. They reached a later incarnation of the worker under the same id, which had seen no stop, while the tasks ran elsewhere.

The time within which an order may be sent was counted from its receipt, and the end of the session was looked for within 20 ms after a pause, which moves the point at which it breaks. A relay now tells its clock in each message, and the owner returns the newest reading with each batch: it is from before the batch was written, so that the relay knows how old an order is at least, however long the batch was on its way. Clocks of hosts need not agree. A relay gets orders once it has sent a message: a connection alone may be that of a host that doesn't read from it.

The owner returns the outcome of a start whose relay was lost only when the relay can no longer send it, so that "unknown" means: sent by then, or never.

TestStartAtLostRelayEndsWhenItCanNoLongerBeSent and TestRelayGetsOrdersOnceItHasAnswered failed before. TestOrdersReadAfterSuspensionAreNotSent now asks for the bound without the end of the session being seen. The order timeout of tests that lose a relay is 2 or 5 s in place of a minute, which a lost start would now take. Older relays tell no clock, and get orders without such a bound; older owners return none, and their orders are counted from receipt.

--- a/mfrelay/link.go
+++ b/mfrelay/link.go
@@ -47,8 +47,10 @@
 // errLinkLost reports that a link ended before an order was answered.
 type errLinkLost struct {
 	relay mothferry.DaemonID
-	// written is set if the order was written to the relay, so that it may have been executed.
+	// written is set if the order was written to the relay, so that it may have been executed; sendBy
+	// is until when the relay may send it to the worker.
 	written bool
+	sendBy  time.Time
 }
 
 // Error implements error.
@@ -93,6 +95,9 @@
 	orders     []*mfwire.Order
 	pending    map[uint64]*pendingOrder
 	lastHeard  time.Time
+	// heard is whether the relay has sent a message, heardClock its clock in the newest one.
+	heard      bool
+	heardClock int64
 	// wake signals the writer that there are orders.
 	wake chan struct{}
 }
@@ -101,7 +106,7 @@
 func (l *link) usable() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.connected && !l.retired && !l.leaving && l.endErr == nil
+	return l.connected && l.heard && !l.retired && !l.leaving && l.endErr == nil
 }
 
 // retire stops giving orders to the relay. It reports whether all of its orders are answered,
@@ -117,15 +122,15 @@
 	return idle
 }
 
-// run connects and relays orders until the link ends. It returns why.
+// run connects and relays orders until the link ends. It returns why. Once the relay has sent its first
+// message, opened is called: a connection alone may be that of a host which doesn't get to read from it.
 func (l *link) run(ctx context.Context, opened func()) error {
 	stream, err := l.connect(ctx)
 	if err != nil {
 		l.close(err)
 		return err
 	}
-	opened()
-	go l.receive(stream)
+	go l.receive(stream, opened)
 	l.send(ctx, stream)
 	l.close(ctx.Err())
 	l.mutex.Lock()
@@ -200,7 +205,7 @@
 	l.orders = nil
 	l.unanswered = len(l.pending)
 	for number, w := range l.pending {
-		w.result <- answer{err: &errLinkLost{relay: l.host.Daemon, written: w.written}}
+		w.result <- answer{err: &errLinkLost{relay: l.host.Daemon, written: w.written, sendBy: w.sendBy}}
 		delete(l.pending, number)
 	}
 }
@@ -216,6 +221,10 @@
 func (l *link) send(ctx context.Context, stream net.Conn) {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
+	if err := l.writeBatch(stream); err != nil {
+		l.close(err)
+		return
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -257,7 +266,7 @@
 }
 
 func (l *link) writeBatch(stream net.Conn) error {
-	batch := &mfwire.Batch{Orders: l.takeOrders()}
+	batch := l.takeBatch()
 	if err := stream.SetWriteDeadline(time.Now().Add(silenceTimeout)); err != nil {
 		return trace.Wrap(err)
 	}
@@ -265,13 +274,13 @@
 	return trace.Wrap(err)
 }
 
-// takeOrders returns the orders to write. Those that nobody waits for any more are dropped; those
+// takeBatch returns the orders to write. Those that nobody waits for any more are dropped; those
 // that the relay may no longer send are refused.
-func (l *link) takeOrders() []*mfwire.Order {
+func (l *link) takeBatch() *mfwire.Batch {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := l.clock.Now()
-	var orders []*mfwire.Order
+	batch := &mfwire.Batch{HeardClockNs: l.heardClock}
 	for _, o := range l.orders {
 		w, waited := l.pending[o.GetNumber()]
 		if !waited {
@@ -285,14 +294,14 @@
 		}
 		w.written = true
 		o.SendWithinNs = int64(left)
-		orders = append(orders, o)
+		batch.Orders = append(batch.Orders, o)
 	}
 	l.orders = nil
-	return orders
+	return batch
 }
 
-// receive reads answers until the link ends.
-func (l *link) receive(stream net.Conn) {
+// receive reads answers until the link ends. It calls opened after the first message.
+func (l *link) receive(stream net.Conn, opened func()) {
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
 	for {
@@ -301,13 +310,18 @@
 			l.close(trace.Wrap(err))
 			return
 		}
-		l.deliver(&outcomes)
+		if l.deliver(&outcomes) {
+			opened()
+		}
 	}
 }
 
-func (l *link) deliver(outcomes *mfwire.Outcomes) {
+// deliver handles a message of the relay. It reports whether it is the first one.
+func (l *link) deliver(outcomes *mfwire.Outcomes) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	first := !l.heard
+	l.heard, l.heardClock = true, max(l.heardClock, outcomes.GetClockNs())
 	l.lastHeard = l.clock.Now()
 	l.leaving = l.leaving || outcomes.GetLeaving()
 	for _, o := range outcomes.GetOutcomes() {
@@ -316,6 +330,7 @@
 			w.result <- decodeOutcome(w.worker, o)
 		}
 	}
+	return first
 }
 
 // execute has the relay execute an order and waits for its answer. The relay may send it to the worker
--- a/mfrelay/relay.go
+++ b/mfrelay/relay.go
@@ -231,7 +231,9 @@
 }
 
 // order has an order executed via the worker's relay, or by direct if there is none. An order that was
-// not yet written when its relay was lost goes another way.
+// not yet written when its relay was lost goes another way. The outcome of one that was written is
+// returned only once the relay can no longer send it to the worker: until then its task must not count
+// as free, whatever the worker answers meanwhile.
 func (r *Relay) order(ctx context.Context, at mothferry.WorkerAddress, o *mfwire.Order, direct func() (mothferry.WorkerClock, error)) (mothferry.WorkerClock, error) {
 	for {
 		l := r.route(at)
@@ -243,7 +245,11 @@
 		}
 		reply, err := l.execute(ctx, o, r.OrderTimeout, 0)
 		var lost *errLinkLost
-		if !errors.As(err, &lost) || lost.written || ctx.Err() != nil {
+		if !errors.As(err, &lost) || ctx.Err() != nil {
+			return reply.Clock, err
+		}
+		if lost.written {
+			mfclock.Sleep(ctx, r.Clock, lost.sendBy.Sub(r.Clock.Now()))
 			return reply.Clock, err
 		}
 	}
--- a/mfrelay/relay_test.go
+++ b/mfrelay/relay_test.go
@@ -208,7 +208,7 @@
 func TestRelayCrash(t *testing.T) {
 	const perKind = 10
 	f := newFleet()
-	f.relay.OrderTimeout = time.Minute
+	f.relay.OrderTimeout = 5 * time.Second
 	remote := &fakeWorkers{}
 	_, kill := f.addHost(t, "r-1", remote)
 	f.start(t)
--- a/mfrelay/server.go
+++ b/mfrelay/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -26,11 +25,6 @@
 // nothing, and its session would be kept for as long as this host runs.
 const ownerSilenceTimeout = 10 * time.Second
 
-// endNoticeDelay is how long the end of a session may take to be seen behind the messages before it.
-const endNoticeDelay = 20 * time.Millisecond
-
-var errSessionEnded = errors.New("session has ended")
-
 // Server relays an owner's orders to workers. The exported fields are set before Run.
 type Server struct {
 	Address string
@@ -97,7 +91,9 @@
 
 // ownerSession is one owner's session.
 type ownerSession struct {
-	server  *Server
+	server *Server
+	// began is when the clock started that the owner is told.
+	began   time.Time
 	session *mfsession.Session
 	wake    chan struct{}
 	done    chan struct{}
@@ -121,7 +117,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, session *mfsession.Session) {
-	v := &ownerSession{server: s, session: session, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	v := &ownerSession{server: s, began: s.Clock.Now(), session: session, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	s.mutex.Lock()
 	if s.sessions == nil {
 		s.sessions = map[*ownerSession]struct{}{}
@@ -151,7 +147,6 @@
 	go v.send(stream)
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
-	received := v.server.Clock.Now()
 	for {
 		var batch mfwire.Batch
 		if err := stream.SetReadDeadline(time.Now().Add(ownerSilenceTimeout)); err != nil {
@@ -160,32 +155,36 @@
 		if err := options.UnmarshalFrom(reader, &batch); err != nil {
 			return trace.Wrap(err)
 		}
-		last := received
-		received = v.server.Clock.Now()
-		if timeOfDaySince(last, received) > silenceTimeout {
-			// This host was suspended or short of processor time, and its owner may have ended the
-			// session: what it wrote before that comes first.
-			<-v.server.Clock.After(endNoticeDelay)
-		}
-		if v.session.IsClosed() {
-			return errSessionEnded
-		}
 		if len(batch.GetOrders()) == 0 {
 			v.wakeUp()
 		}
+		written := v.writtenAfter(&batch)
 		for _, o := range batch.GetOrders() {
 			if !v.begin() {
 				v.answer(encodeOutcome(o.GetNumber(), 0, &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalUnhealthy}))
 				continue
 			}
-			go v.execute(ctx, o, received)
+			go v.execute(ctx, o, written)
 		}
 	}
 }
 
-// timeOfDaySince returns the time between two moments by the time of day, which unlike the monotonic
-// clock also counts the time for which the host was suspended.
-func timeOfDaySince(from, to time.Time) time.Duration { return to.Round(0).Sub(from.Round(0)) }
+// writtenAfter returns a time after which the owner wrote a batch, by the clock that it was told.
+//
+// A batch may have waited long before it was read: this host was suspended or short of processor time, or
+// the network held it. Counted from its receipt, orders would be carried out that their owner had given up
+// on by then. An owner that tells no clock is of an older version.
+func (v *ownerSession) writtenAfter(batch *mfwire.Batch) time.Time {
+	if batch.GetHeardClockNs() <= 0 {
+		return v.server.Clock.Now()
+	}
+	return v.began.Add(time.Duration(batch.GetHeardClockNs()))
+}
+
+// clock returns the time since the session began; it is never zero.
+func (v *ownerSession) clock() time.Duration {
+	return max(1, v.server.Clock.Now().Sub(v.began))
+}
 
 // begin counts an order to execute, unless there are too many.
 func (v *ownerSession) begin() bool {
@@ -200,13 +199,17 @@
 	return true
 }
 
-// execute sends one order to its worker and queues the answer.
-func (v *ownerSession) execute(ctx context.Context, o *mfwire.Order, received time.Time) {
+// execute sends one order to its worker and queues the answer. The owner wrote the order after a time.
+func (v *ownerSession) execute(ctx context.Context, o *mfwire.Order, written time.Time) {
 	if within := time.Duration(o.GetSendWithinNs()); within > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, received.Add(within))
+		ctx, cancel = context.WithTimeout(ctx, written.Add(within).Sub(v.server.Clock.Now()))
 		defer cancel()
 	}
+	if ctx.Err() != nil {
+		v.end(encodeOutcome(o.GetNumber(), 0, &mothferry.ErrOrderRefused{Refusal: mothferry.RefusalUnhealthy}))
+		return
+	}
 	workers, at, epoch := v.server.Workers, addressOf(o), mothferry.Epoch(o.GetEpoch())
 	var clock mothferry.WorkerClock
 	var report *mfwire.Report
@@ -227,10 +230,15 @@
 	if err == nil {
 		outcome.Report = report
 	}
+	v.end(outcome)
+}
+
+// end queues the answer to an order that was begun.
+func (v *ownerSession) end(o *mfwire.Outcome) {
 	v.mutex.Lock()
 	v.openOrders--
 	v.mutex.Unlock()
-	v.answer(outcome)
+	v.answer(o)
 }
 
 func (v *ownerSession) answer(o *mfwire.Outcome) {
@@ -286,7 +294,7 @@
 		<-v.server.Clock.After(answerBatchDelay)
 		v.recordDelay(v.server.Clock.Now().Sub(woken) - answerBatchDelay)
 		v.mutex.Lock()
-		message := &mfwire.Outcomes{Outcomes: v.outcomes, Leaving: v.server.isLeaving()}
+		message := &mfwire.Outcomes{Outcomes: v.outcomes, Leaving: v.server.isLeaving(), ClockNs: int64(v.clock())}
 		v.outcomes = nil
 		v.activity.messages++
 		v.mutex.Unlock()
--- a/mfrelay/withdraw_test.go
+++ b/mfrelay/withdraw_test.go
@@ -1,6 +1,7 @@
 package mfrelay_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -58,7 +59,7 @@
 // the owner counts it as unknown or has lost the shard.
 func TestOrderEndsWithItsOwnersSession(t *testing.T) {
 	f := newFleet()
-	f.relay.OrderTimeout = time.Minute
+	f.relay.OrderTimeout = 5 * time.Second
 	remote := newHeldWorkers()
 	f.addHost(t, "r-1", remote)
 	end := f.start(t)
@@ -152,14 +153,44 @@
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
 
+// stuckRelay accepts sessions, sends one message on each and reads nothing.
+func stuckRelay(t *testing.T, f *fleet) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			session, err := mfsession.Server(c, quietConfig())
+			if err != nil {
+				return
+			}
+			if stream, err := session.AcceptStream(); err == nil {
+				_, _ = protodelim.MarshalTo(stream, &mfwire.Outcomes{ClockNs: 1})
+			}
+		}
+	}()
+	f.hosts = append(f.hosts, mfrecord.Host{Daemon: "r-stuck", DataCentre: "dc", Address: listener.Addr().String(), Cores: 800})
+	f.relay.SetHosts(f.hosts)
+}
+
+func quietConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	return config
+}
+
 // Guards against a start that counts as unknown, so that its task waits, although it was never written:
 // it goes another way when its relay is lost, and is executed once.
 func TestUnwrittenOrderGoesAnotherWay(t *testing.T) {
 	f := newFleet()
-	f.relay.OrderTimeout = time.Minute
-	accepted := silentRelay(t, f)
+	f.relay.OrderTimeout = 2 * time.Second
+	stuckRelay(t, f)
 	f.start(t)
-	<-accepted
 	// A message that is longer than all buffers on its way blocks the ones after it.
 	long := strings.Repeat("x", 16<<20)
 	written := make(chan error, 1)
@@ -194,8 +225,8 @@
 	return time.Now().Round(0).Add(time.Duration(c.ahead.Load()))
 }
 
-// Guards against a start that a relay carries out after it was suspended, while its owner wrote the start
-// and then ended the session: both are read at once when the relay continues.
+// Guards against a start that a relay carries out long after it was written: the relay was suspended, or the
+// network held the message, and the owner may have ended the session since.
 func TestOrdersReadAfterSuspensionAreNotSent(t *testing.T) {
 	clock := &suspendedClock{}
 	remote := newHeldWorkers()
@@ -210,23 +241,56 @@
 			connection, err = net.Dial("tcp", server.Address)
 			return err == nil
 		})
-		config := yamux.DefaultConfig()
-		config.LogOutput = io.Discard
-		session, err := mfsession.Client(connection, config)
+		session, err := mfsession.Client(connection, quietConfig())
 		assert.NilError(t, err)
 		stream, err := session.OpenStream()
 		assert.NilError(t, err)
 		_, err = protodelim.MarshalTo(stream, &mfwire.Batch{})
 		assert.NilError(t, err)
-		answer := make([]byte, 1)
-		_, err = stream.Read(answer)
-		assert.NilError(t, err)
+		var answer mfwire.Outcomes
+		assert.NilError(t, protodelim.UnmarshalFrom(bufio.NewReader(stream), &answer))
 		clock.ahead.Add(int64(time.Second))
-		start := &mfwire.Order{Number: 1, Worker: "w", Kind: &mfwire.Order_Start{Start: &mfwire.Start{}}}
-		_, err = protodelim.MarshalTo(stream, &mfwire.Batch{Orders: []*mfwire.Order{start}})
+		start := &mfwire.Order{Number: 1, Worker: "w", SendWithinNs: int64(900 * time.Millisecond), Kind: &mfwire.Order_Start{Start: &mfwire.Start{}}}
+		_, err = protodelim.MarshalTo(stream, &mfwire.Batch{HeardClockNs: answer.GetClockNs(), Orders: []*mfwire.Order{start}})
 		assert.NilError(t, err)
 		assert.NilError(t, session.Close())
 	}
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, len(remote.waiting), 0)
 }
+
+// Guards against a task that starts elsewhere while its start may still be sent: the owner has lost the relay
+// that has the start, and the worker has answered a stop meanwhile. The start counts as unknown only once
+// the relay would no longer send it.
+func TestStartAtLostRelayEndsWhenItCanNoLongerBeSent(t *testing.T) {
+	f := newFleet()
+	f.relay.OrderTimeout = 2 * time.Second
+	remote := newHeldWorkers()
+	_, kill := f.addHost(t, "r-1", remote)
+	f.start(t)
+	eventually(t, "orders are relayed", func() bool { return f.firstRelayed(10) })
+	result := make(chan error, 1)
+	sent := time.Now()
+	go func() {
+		_, err := f.relay.Start(context.Background(), worker(1), mothferry.StartOrder{})
+		result <- err
+	}()
+	within(t, 5*time.Second, "start waits at the relay", remote.waiting)
+	kill()
+	assertUnknown(t, <-result)
+	assert.Assert(t, time.Since(sent) >= f.relay.OrderTimeout, "%v", time.Since(sent))
+}
+
+// Guards against starts that wait in the kernel of a host that accepts connections and reads nothing: a relay
+// gets orders only once it has sent a message.
+func TestRelayGetsOrdersOnceItHasAnswered(t *testing.T) {
+	f := newFleet()
+	accepted := silentRelay(t, f)
+	f.start(t)
+	<-accepted
+	for i := range 100 {
+		_, err := f.relay.Start(context.Background(), worker(i), mothferry.StartOrder{})
+		assert.NilError(t, err)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
