mfsched: polls of a former incarnation may extend the next one's lease

A caller could see a task run twice: a poll that was meant for the former incarnation of an id was carried out by the next one after that had answered. Its lease's end, by a clock that was ahead, was cut to the longest lease from then on, later than this owner knew of: it took the lease as expired, and the worker's tasks started elsewhere while it was cut off and went on. An incarnation that had not answered yet was waited for; unlike polls of a previous owner, those of this one are not refused once it has. Leases on an incarnation that follows another under its id don't count as expired before polls of the former one can't have effect any more, whether it has answered or not. A worker that is removed and listed again as the same incarnation is not affected.

--- a/mfsched/former.go
+++ b/mfsched/former.go
@@ -17,7 +17,9 @@
 // A worker may start again under its id. Without it, what still comes of the former incarnation
 // would be taken for news of the new one.
 type formerWorker struct {
-	removedAt  time.Time
+	removedAt time.Time
+	// startedAt is when its newest known incarnation started.
+	startedAt  mothferry.IncarnationStart
 	lateStarts map[runID]lateStart
 }
 
@@ -76,14 +78,17 @@
 }
 
 // returned applies what is kept of a worker that is listed again under its id.
-func (s *State) returned(w *worker, now time.Time) {
+func (s *State) returned(w *worker, startedAt mothferry.IncarnationStart, now time.Time) {
 	former, known := s.former[w.at.Worker]
 	if !known {
 		return
 	}
 	delete(s.former, w.at.Worker)
 	w.lateStarts = former.lateStarts
-	w.restartedAt, w.priorLeaseEnd = now, now.Add(s.Limits.LeaseExpiryBound())
+	w.restartedAt = now
+	if startedAt != former.startedAt {
+		w.follow(now, s.Limits)
+	}
 }
 
 // expireFormer forgets the workers that were removed, and the runs that were released, more than
--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -32,11 +32,17 @@
 		return false
 	}
 	w.fenced, w.openPolls, w.nextPoll = false, nil, now
-	w.restartedAt, w.priorLeaseEnd = now, now.Add(l.LeaseExpiryBound())
+	w.follow(now, l)
 	w.lastEndSeen, w.lastEndStored = 0, 0
 	return true
 }
 
+// follow records that the incarnation follows another under its id. Polls that were meant for that
+// one, whose clock was another, may yet be carried out and extend leases by the longest time.
+func (w *worker) follow(now time.Time, l Limits) {
+	w.restartedAt, w.priorLeaseEnd, w.followsFormer = now, now.Add(l.LeaseExpiryBound()), true
+}
+
 // predatesRestart reports whether a worker has restarted, by its entry or by an answer, so
 // that an end shown by a list requested at requestedAt is that of the previous incarnation.
 func (w *worker) predatesRestart(requestedAt time.Time) bool {
@@ -108,10 +114,9 @@
 	s.failJobsOf(toFail, now)
 }
 
-// beginIncarnation resets what was known of the previous incarnation. One of its polls that
-// extends leases may still be carried out: until none can, no lease here counts as expired.
+// beginIncarnation resets what was known of the previous incarnation.
 func (w *worker) beginIncarnation(now time.Time, l Limits) {
-	w.restartedAt, w.priorLeaseEnd = now, now.Add(l.LeaseExpiryBound())
+	w.follow(now, l)
 	w.fenced, w.unresponsive = false, false
 	w.clock, w.clockReadAt, w.leaseUntil = 0, time.Time{}, 0
 	w.openPolls, w.answeredPollSent = nil, time.Time{}
--- a/mfsched/incarnation_test.go
+++ b/mfsched/incarnation_test.go
@@ -372,3 +372,36 @@
 		assert.Equal(t, polls[0].Order.LastEndSeen, mothferry.EndNumber(0), "committing %v", committing)
 	}
 }
+
+// Guards against two runs of a task: a poll of the former incarnation, whose clock was ahead, is
+// carried out by the new one after its first answer and extends its lease to the longest possible,
+// which this owner did not know of when it counted the lease as expired.
+func TestLatePollOfFormerIncarnationMayExtendLease(t *testing.T) {
+	s, starts := runningInFirstIncarnation(t, 1)
+	s.answerStart(starts[0], mfsched.ResultDone, "")
+	s.advance(30 * time.Millisecond)
+	former := takeCommands[mfsched.Poll](s)
+	assert.Assert(t, len(former) > 0 && former[0].Order.Until > mothferry.WorkerClock(time.Hour))
+	s.listIncarnation("w", secondIncarnation)
+	restarted := s.now
+	s.advance(10 * time.Millisecond)
+	s.answerAs("w", secondIncarnation, mothferry.PollReport{Running: runningOf(starts)})
+	// A poll of the first incarnation is carried out now, and the worker is cut off.
+	extended := s.now.Add(time.Second)
+	s.listWorker("w-2")
+	for s.now.Sub(restarted) < limits().LeaseExpiryBound()+time.Second {
+		s.advance(50 * time.Millisecond)
+		for _, p := range takeCommands[mfsched.Poll](s) {
+			if p.At.Worker == "w" {
+				s.step(mfsched.PollFailed{Worker: "w", Number: p.Number, Sent: s.now, Result: mfsched.ResultUnknown})
+				continue
+			}
+			s.step(mfsched.PollAnswered{Worker: p.At.Worker, Number: p.Number, Sent: s.now, Report: mothferry.PollReport{Clock: mothferry.WorkerClock(s.now.Sub(startTime) + time.Hour)}})
+		}
+		if len(takeCommands[mfsched.Start](s)) > 0 {
+			assert.Assert(t, s.now.After(extended.Add(limits().MaxLease)), "started elsewhere %v after the restart, while the lease may run", s.now.Sub(restarted))
+			return
+		}
+	}
+	t.Fatal("never started elsewhere")
+}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -47,9 +47,12 @@
 	// leaseUntil is the latest lease end that this owner requested or, once the worker has
 	// answered, that a previous owner may have requested.
 	leaseUntil mothferry.WorkerClock
-	// priorLeaseEnd is the time before which the lease of an incarnation found at takeover
-	// can't count as expired.
+	// priorLeaseEnd is the time before which the lease of an incarnation found at takeover, or
+	// of one that follows another under its id, can't count as expired: polls of a previous
+	// owner, or of the former incarnation, may have extended it. The former are refused once
+	// the worker has answered, unlike the latter; followsFormer says that there may be such.
 	priorLeaseEnd time.Time
+	followsFormer bool
 
 	// openPolls holds the polls without an answer in the order in which they were sent.
 	// pollSent is when the last poll was sent, answered or not; those of pollNoWait don't
@@ -149,7 +152,7 @@
 	}
 	known := w.restartedAt
 	if !ok {
-		s.returned(w, now)
+		s.returned(w, l.StartedAt, now)
 	}
 	if !w.acceptListing(l.StartedAt, now, s.Limits) {
 		return
@@ -217,7 +220,7 @@
 // leasesExpired reports whether everything on a worker is confirmed to have ended because its
 // lease ran out. The worker's clock is assumed to be as slow as it may be.
 func (s *State) leasesExpired(w *worker, now time.Time) bool {
-	if now.Before(w.priorLeaseEnd) && !w.fenced {
+	if now.Before(w.priorLeaseEnd) && (!w.fenced || w.followsFormer) {
 		return false
 	}
 	if w.clockReadAt.IsZero() {
@@ -313,7 +316,7 @@
 
 // removeWorker removes an incarnation that has ended, or is neither listed nor has work.
 func (s *State) removeWorker(w *worker, now time.Time) {
-	s.former[w.at.Worker] = formerWorker{removedAt: now, lateStarts: w.lateStarts}
+	s.former[w.at.Worker] = formerWorker{removedAt: now, startedAt: w.newestStartedAt(), lateStarts: w.lateStarts}
 	s.dropOrphans(w)
 	delete(s.workers, w.at.Worker)
 	if at, found := slices.BinarySearchFunc(s.sortedWorkers, w.at.Worker, byID); found {
