mfrelay: test that a replaced link ends its orders

A start that waits at a relay is withdrawn when the link is replaced, before a stop of its run takes the new link. The test fails on a relay whose orders outlive their session: the start is still wanted after 5 s.

--- a/mfrelay/withdraw_test.go
+++ b/mfrelay/withdraw_test.go
@@ -75,6 +75,32 @@
 	within(t, 5*time.Second, "start is withdrawn", remote.withdrawn)
 }
 
+// Guards against a start that is sent after a stop of its run, as the link that it was sent by has been
+// replaced and the stop takes the new one.
+func TestReplacedLinkEndsItsOrders(t *testing.T) {
+	f := newFleet()
+	f.relay.OrderTimeout = time.Minute
+	remote := newHeldWorkers()
+	f.addHost(t, "r-1", remote)
+	f.start(t)
+	eventually(t, "orders are relayed", func() bool { return f.firstRelayed(10) })
+	result := make(chan error, 1)
+	go func() {
+		_, err := f.relay.Start(context.Background(), worker(1), mothferry.StartOrder{Run: 1})
+		result <- err
+	}()
+	within(t, 5*time.Second, "start waits at the relay", remote.waiting)
+	f.hosts[0].Cores++
+	f.relay.SetHosts(f.hosts)
+	assertUnknown(t, <-result)
+	within(t, 5*time.Second, "start is withdrawn", remote.withdrawn)
+	eventually(t, "the stop is relayed", func() bool {
+		before := remote.callCount()
+		_, err := f.relay.Stop(context.Background(), worker(1), mothferry.TaskName{}, 1, 1)
+		return err == nil && remote.callCount() > before
+	})
+}
+
 // Guards against a start that waits at its relay for longer than its owner waits for an answer and is
 // sent then: it is refused before its owner gives up on it.
 func TestOrderIsNotSentAfterItsOwnerGaveUp(t *testing.T) {
