--- a/mfrelay/relay.go
+++ b/mfrelay/relay.go
@@ -5,8 +5,9 @@
 //   - A relay crashes, hangs or is partitioned: it is lost after silenceTimeout without a
 //     message, its pending orders end as unknown (which the owner has to handle anyway), polls
 //     are repeated via another relay, and its workers go to the others. A relay that continues
-//     later may still send old orders; a worker refuses those by their epoch, run number or
-//     lease end, as it does with any late order.
+//     later ends the orders that it has not sent.
+//   - An order waits at a relay, for its turn at the worker or for a connection: it is sent within
+//     the time of a call or not at all. One that is not sent is answered as refused.
 //   - A relay is about to stop: it reports so, answers what it has, and gets no more.
 //   - There is no relay: the owner calls workers directly.
 package mfrelay
