--- a/mfemulate/late_test.go
+++ b/mfemulate/late_test.go
@@ -28,8 +28,8 @@
 // loop stands still. Relay: a relay holds all calls for a while. Takeover: owners end, freeze or
 // lose the store. Crash: workers end, and others start on their machines. Cut: workers can't be
 // reached. Unlist: workers lose their entry while they run. Handover: an owner that has lost the store
-// goes on, and its successor can't reach a worker for a while.
-var usualLateness = []string{"send", "hold", "answer", "resend", "worker", "commit", "list", "lost", "stall", "relay", "takeover", "crash", "cut", "unlist", "handover"}
+// goes on, and its successor can't reach a worker for a while. Moves: machines move between pools.
+var usualLateness = []string{"send", "hold", "answer", "resend", "worker", "commit", "list", "lost", "stall", "relay", "takeover", "crash", "cut", "unlist", "handover", "moves"}
 
 // Histories in which calls, answers, commits, lists and the owner are late, while orders overtake
 // each other on several ways to a worker and owners change. No task may have two runs at the same
@@ -164,6 +164,7 @@
 		w.Faults = mfemulate.Faults{ReuseID: faults.ReuseID}
 		w.Late = mfemulate.Lateness{Claims: true}
 	})
+	w.Moves = has("moves")
 	w.Run(faultPeriod + 25*time.Second)
 	return w
 }
