mfemulate: workers that stand still in histories with late calls

A worker that is short of processor time answers nothing for a while, loses its entry, and handles afterwards what came meanwhile; its runs end as done. With truthful lists of machines no task runs twice.

--- a/mfemulate/late.go
+++ b/mfemulate/late.go
@@ -111,9 +111,11 @@
 			return
 		}
 		w.after(p.worker, func() {
-			if !k.ended && k.reachableBy(o.epoch, w.now) {
-				deliver(k, answer)
-			}
+			k.whenAwake(func() {
+				if !k.ended && k.reachableBy(o.epoch, w.now) {
+					deliver(k, answer)
+				}
+			})
 		})
 	})
 }
@@ -209,6 +211,36 @@
 	return !o.unreachable && (o.cutFromEpoch == 0 || epoch < o.cutFromEpoch || !now.Before(o.cutUntil))
 }
 
+// PauseWorker lets a machine's worker stand still for d: it handles calls and ends runs only after
+// that. Its entry expires after entryExpiry. Leases expire in time.
+func (w *World) PauseWorker(index int, d time.Duration) {
+	k := w.workers[w.machines[index%len(w.machines)].worker]
+	if k == nil || k.ended || k.paused() {
+		return
+	}
+	k.pausedUntil = w.now.Add(d)
+	w.extendFault(k.pausedUntil)
+	w.after(entryExpiry, func() {
+		if k.paused() && w.workers[k.listing.At.Worker] == k {
+			w.UnlistWorker(index, k.pausedUntil.Sub(w.now)+listLag)
+		}
+	})
+}
+
+// entryExpiry is how long a worker is silent before its entry is removed.
+const entryExpiry = 1500 * time.Millisecond
+
+func (o *worker) paused() bool { return o.world.now.Before(o.pausedUntil) }
+
+// whenAwake runs f now, or once the worker goes on.
+func (o *worker) whenAwake(f func()) {
+	if o.paused() {
+		o.world.at(o.pausedUntil, f)
+		return
+	}
+	f()
+}
+
 // StallOwner lets the owner's loop stand still for d. Answers queue up meanwhile, and the owner
 // goes on as the owner that it believes to be.
 func (w *World) StallOwner(d time.Duration) {
--- a/mfemulate/late_test.go
+++ b/mfemulate/late_test.go
@@ -29,7 +29,8 @@
 // lose the store. Crash: workers end, and others start on their machines. Cut: workers can't be
 // reached. Unlist: workers lose their entry while they run. Handover: an owner that has lost the store
 // goes on, and its successor can't reach a worker for a while. Moves: machines move between pools.
-var usualLateness = []string{"send", "hold", "answer", "resend", "worker", "commit", "list", "lost", "stall", "relay", "takeover", "crash", "cut", "unlist", "handover", "moves"}
+// Pause: workers stand still.
+var usualLateness = []string{"send", "hold", "answer", "resend", "worker", "commit", "list", "lost", "stall", "relay", "takeover", "crash", "cut", "unlist", "handover", "moves", "pause"}
 
 // Histories in which calls, answers, commits, lists and the owner are late, while orders overtake
 // each other on several ways to a worker and owners change. No task may have two runs at the same
@@ -165,6 +166,10 @@
 		w.Late = mfemulate.Lateness{Claims: true}
 	})
 	w.Moves = has("moves")
+	times("pause", 8, func(at time.Duration) {
+		i, d := r.IntN(13), between(100*time.Millisecond, 3*time.Second)
+		w.At(at, func() { w.PauseWorker(i, d) })
+	})
 	w.Run(faultPeriod + 25*time.Second)
 	return w
 }
--- a/mfemulate/regression_test.go
+++ b/mfemulate/regression_test.go
@@ -133,11 +133,12 @@
 	checkLateHistory(t, 15, []string{"crash", "reuse", "hold"}, nil)
 }
 
-// Guards against a task that runs twice because its worker can't be reached and is missing from lists
-// of machines: it is alive, and its lease has not expired.
+// Guards against tasks that run twice because their worker can't be reached, or stands still for two
+// seconds, and is missing from lists of machines: it is alive, and its lease has not expired.
 func TestUnreachableWorkerMissingFromListsKeepsItsTasks(t *testing.T) {
 	t.Parallel()
 	checkLateHistory(t, 12, []string{"hide", "cut"}, nil)
+	checkLateHistory(t, 28, []string{"hide", "pause"}, nil)
 }
 
 // Guards against a task that runs twice because a list of machines that is older than the one before
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -19,6 +19,8 @@
 	// ended is set once the incarnation has ended, unreachable while no call reaches it.
 	ended       bool
 	unreachable bool
+	// pausedUntil is until when it stands still.
+	pausedUntil time.Time
 	// cutFromEpoch is the first epoch whose owner can't reach it until cutUntil; zero for none.
 	cutFromEpoch mothferry.Epoch
 	cutUntil     time.Time
@@ -188,9 +190,11 @@
 	}
 	o.waitingPolls = append(o.waitingPolls, l)
 	o.world.after(order.Wait, func() {
-		if !o.ended && !o.unreachable {
-			o.answerPoll(l)
-		}
+		o.whenAwake(func() {
+			if !o.ended && !o.unreachable {
+				o.answerPoll(l)
+			}
+		})
 	})
 	return nil
 }
@@ -245,6 +249,10 @@
 	if r.ended || o.ended {
 		return
 	}
+	if o.paused() {
+		o.whenAwake(func() { o.finish(name, r) })
+		return
+	}
 	cause := mothferry.EndDone
 	if r.fails {
 		cause = mothferry.EndFailed
@@ -276,9 +284,11 @@
 	o.world.endByOrder(o, name, "stop")
 	r.stopping = true
 	o.world.after(stopTime, func() {
-		if !r.ended && !o.ended {
-			o.end(name, mothferry.EndStopped)
-		}
+		o.whenAwake(func() {
+			if !r.ended && !o.ended {
+				o.end(name, mothferry.EndStopped)
+			}
+		})
 	})
 	return nil
 }
