--- a/mfowner/observation_test.go
+++ b/mfowner/observation_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"mothferry"
 	"mothferry/mfrecord"
@@ -116,3 +117,61 @@
 		assert.Assert(t, polledWithLatency(maxLease+latency+pollInterval, latency).claimable("h-2", 800), "read latency %v", latency)
 	}
 }
+
+// A new owner must not take the leases of its predecessor for older than they are, however late
+// commits, reads and the claim are and whichever host stands still in between: the owner counts them
+// from when a commit was sent, and a claim succeeds only if the head is still the one that was read.
+func TestLeasesCountFromLastStoredCommit(t *testing.T) {
+	claims := 0
+	rapid.Check(t, func(t *rapid.T) {
+		late := func(label string) time.Duration {
+			d := rapid.SampledFrom([]time.Duration{5 * time.Millisecond, 40 * time.Millisecond, 400 * time.Millisecond, 3 * time.Second, 8 * time.Second})
+			return d.Draw(t, label)
+		}
+		// The owner sends one commit after the other, until it ends.
+		type commit struct{ sent, stored time.Time }
+		commits := []commit{{testStart, testStart}}
+		for range rapid.IntRange(0, 12).Draw(t, "commits") {
+			sent := commits[len(commits)-1].stored.Add(late("answer and pause"))
+			commits = append(commits, commit{sent, sent.Add(late("store"))})
+		}
+		storedAt := func(at time.Time) (last commit, version mothferry.Version) {
+			for i, c := range commits {
+				if !c.stored.After(at) {
+					last, version = c, mothferry.Version(i+1)
+				}
+			}
+			return last, version
+		}
+		var seen observation
+		now := testStart
+		for range 80 {
+			delay := rapid.SampledFrom([]time.Duration{pollInterval, pollInterval, pollInterval, time.Second}).Draw(t, "poll")
+			now = now.Add(delay)
+			if !seen.readAt.IsZero() {
+				seen.paused += delay - pollInterval
+			}
+			asked, there := now, late("read")/4
+			next := ownedHead(800)
+			_, next.version = storedAt(asked.Add(there))
+			now = asked.Add(there + late("read answer")/4)
+			next.readLatency = now.Sub(asked)
+			seen = seen.observe(next, now)
+			if !seen.claimable("h-2", 800) {
+				continue
+			}
+			// The host may stand still before it claims.
+			claimed := now.Add(late("pause before the claim"))
+			last, version := storedAt(claimed.Add(late("claim")))
+			if version != seen.version {
+				seen, now = observation{}, claimed
+				continue
+			}
+			claims++
+			counted := seen.lastCommit(claimed)
+			assert.Assert(t, !counted.Before(last.sent), "leases count from %v before the commit", last.sent.Sub(counted))
+			return
+		}
+	})
+	assert.Assert(t, claims > 0, "no host ever claimed the shard")
+}
