mfsched: a task waits for the calls that order its former run

Callers could see a task run twice: the start of its run was held up at a relay, the run counted as ended, as its worker had ended, had restarted or had answered a stop, and the task started elsewhere. The start then reached a later incarnation of the worker under the same id, which had seen neither the end nor a stop, and whose clock does not bound the lease that the start asked for.

An answered stop, an end, or an expired lease says that the incarnation which is known refuses the start; the ones after it don't. The scheduler now counts the calls under way for runs that were released. A task, and the members of a gang together, does not start while there is one. As a relay and the client for workers send an order before its call ends or never, no order is carried out by a process that gets it after that. Tasks without such calls, which are all but those whose worker ends within the time of a call, wait for nothing.

A poll acknowledges no ends while its worker doesn't answer: another incarnation, which numbers its ends anew, would forget ends that nobody has seen.

TestTaskWaitsForCallsThatOrderItsFormerRun (for ended and restarted workers; a stop alone passed before) and TestUnresponsiveWorkerForgetsNoEnds failed before. Three tests of late starts did not end their calls, as each call does; they now check that nothing starts until then.

--- a/mfsched/gang.go
+++ b/mfsched/gang.go
@@ -37,7 +37,7 @@
 // placeGang places all members of a gang or none: some of them would only reserve capacity
 // while they wait for the others.
 func (s *State) placeGang(c *candidate, p *step, capacity *placementCapacity, now time.Time) {
-	if p.waiting < p.remaining || s.awaitsOrphan(p.tasks[0]) {
+	if p.waiting < p.remaining || s.awaitsFormerRun(p.tasks[0]) {
 		return
 	}
 	var run mothferry.RunNumber
--- a/mfsched/incarnation_test.go
+++ b/mfsched/incarnation_test.go
@@ -126,7 +126,8 @@
 	s.advance(30 * time.Millisecond)
 	s.answerAs("w", secondIncarnation, mothferry.PollReport{})
 	s.advance(100 * time.Millisecond)
-	for _, o := range takeCommands[mfsched.Start](s) {
+	resent := takeCommands[mfsched.Start](s)
+	for _, o := range resent {
 		assert.Assert(t, o.Order.Run == 1, "started again while the first order may be carried out")
 	}
 	stops := takeCommands[mfsched.Stop](s)
@@ -136,6 +137,11 @@
 	s.advance(30 * time.Millisecond)
 	s.answerAs("w", secondIncarnation, mothferry.PollReport{})
 	s.advance(100 * time.Millisecond)
+	assert.Equal(t, len(takeCommands[mfsched.Start](s)), 0, "started again while the call may reach an incarnation after that")
+	for _, o := range append(starts, resent...) {
+		s.answerStart(o, mfsched.ResultUnknown, "")
+	}
+	s.advance(100 * time.Millisecond)
 	again := takeCommands[mfsched.Start](s)
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Order.Run, mothferry.RunNumber(2))
@@ -296,6 +302,8 @@
 	for s.now.Before(listed.Add(l.RenewLeasesFor + l.LeaseDuration)) {
 		assert.Equal(t, round(), 0, "started elsewhere after %v", s.now.Sub(listed))
 	}
+	// The call has ended without an answer long before that.
+	s.step(mfsched.StartAnswered{Worker: "w", Task: mothferry.TaskName{Job: "j"}, Run: 1, Result: mfsched.ResultUnknown})
 	again := 0
 	for s.now.Before(listed.Add(2 * l.LeaseExpiryBound())) {
 		again += round()
--- a/mfsched/job.go
+++ b/mfsched/job.go
@@ -188,6 +188,7 @@
 		return
 	}
 	t.worker.recordLateStart(t, now)
+	s.startCalls.add(t)
 	t.worker.tasks.remove(t)
 	t.worker.used = t.worker.used.Sub(t.step.spec.Reservation())
 	t.job.account.removeUsage(t.step.spec.Need)
--- a/mfsched/late_start_test.go
+++ b/mfsched/late_start_test.go
@@ -120,6 +120,8 @@
 			s.step(mfsched.StopAnswered{Worker: "w", Sent: s.now, Task: first.Order.Task, Run: first.Order.Run, Result: mfsched.ResultDone})
 			s.advance(10 * time.Millisecond)
 			s.answerAs("w", secondIncarnation, mothferry.PollReport{})
+			assert.Equal(t, len(s.acceptStarts(200*time.Millisecond)), 0, "its call may reach an incarnation after that")
+			s.answerStart(first, mfsched.ResultUnknown, "")
 			assert.Equal(t, len(s.acceptStarts(200*time.Millisecond)), 1)
 		})
 	}
--- a/mfsched/loss.go
+++ b/mfsched/loss.go
@@ -150,7 +150,7 @@
 // was lost.
 func (s *State) resendStart(t *task, now time.Time) {
 	w := t.worker
-	if s.awaitsOrphan(t) || !t.job.account.stillAdmits(t.step.spec.Need) {
+	if s.awaitsFormerRun(t) || !t.job.account.stillAdmits(t.step.spec.Need) {
 		return
 	}
 	if t.startsSent >= maxStartSends || !w.listed || w.unresponsive || w.Draining || s.toEvacuate[w.at.Worker] || t.job.state.Final() {
--- a/mfsched/orphan.go
+++ b/mfsched/orphan.go
@@ -124,19 +124,23 @@
 	return cmp.Or(compareNames(a.task, b.task), cmp.Compare(a.run, b.run))
 }
 
-// awaitsOrphan reports whether a task must not start yet as another run of it, or of a member of its
-// gang, is not known to have ended.
-func (s *State) awaitsOrphan(t *task) bool {
+// awaitsFormerRun reports whether a task must not start yet as another run of it, or of a member of its
+// gang, is not known to have ended, or may yet be ordered.
+func (s *State) awaitsFormerRun(t *task) bool {
 	switch {
-	case len(s.orphaned) == 0:
+	case len(s.orphaned) == 0 && len(s.startCalls.byTask) == 0:
 		return false
 	case t.step.spec.Gang:
-		return slices.ContainsFunc(t.step.tasks, func(o *task) bool { return s.orphaned[o.name] > 0 })
+		return slices.ContainsFunc(t.step.tasks, func(o *task) bool { return s.formerRuns(o.name) > 0 })
 	default:
-		return s.orphaned[t.name] > 0
+		return s.formerRuns(t.name) > 0
 	}
 }
 
+func (s *State) formerRuns(name mothferry.TaskName) int {
+	return s.orphaned[name] + s.startCalls.byTask[name]
+}
+
 // logOrphan logs which run is stopped as an orphan, and what is known of its task instead.
 func (s *State) logOrphan(w *worker, r runID) {
 	d := Decision{Message: "run is not its task's, told to stop", Job: r.task.Job, Worker: w.at.Worker, Fields: map[string]any{
--- a/mfsched/place.go
+++ b/mfsched/place.go
@@ -75,7 +75,7 @@
 	var placed []*task
 	room := s.rowRoomOf(c.job)
 	for _, t := range p.tasks {
-		if t.phase != phaseWaiting || now.Before(t.notBefore) || t.awaitsEndCause(now) || s.awaitsOrphan(t) {
+		if t.phase != phaseWaiting || now.Before(t.notBefore) || t.awaitsEndCause(now) || s.awaitsFormerRun(t) {
 			continue
 		}
 		if !c.job.account.admits(p.spec.Need) {
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -314,6 +314,7 @@
 
 // startAnswered handles the answer to a start order.
 func (s *State) startAnswered(e StartAnswered, now time.Time) {
+	s.startCalls.ended(e.Worker, runID{task: e.Task, run: e.Run})
 	if e.Result == ResultIncarnationEnded {
 		s.incarnationMismatch(e.Worker, now)
 	}
--- a/mfsched/state.go
+++ b/mfsched/state.go
@@ -245,7 +245,8 @@
 	// produce the same commands in the same order.
 	sortedWorkers []*worker
 	// orphaned counts the orphaned runs on all workers by their tasks.
-	orphaned map[mothferry.TaskName]int
+	orphaned   map[mothferry.TaskName]int
+	startCalls startCalls
 	// former holds the workers that were removed lately.
 	former     map[mothferry.WorkerID]formerWorker
 	toEvacuate map[mothferry.WorkerID]bool
@@ -339,6 +340,7 @@
 		queues: map[mothferry.QueueID]Queue{},
 		jobs:   map[mothferry.JobID]*job{}, live: map[mothferry.JobID]*job{}, upcoming: map[mothferry.JobID]*job{}, workers: map[mothferry.WorkerID]*worker{},
 		orphaned:       map[mothferry.TaskName]int{},
+		startCalls:     newStartCalls(),
 		former:         map[mothferry.WorkerID]formerWorker{},
 		toEvacuate:     map[mothferry.WorkerID]bool{},
 		unresolvedEnds: map[mothferry.WorkerID]unresolvedEnd{},
--- a/mfsched/straggler.go
+++ b/mfsched/straggler.go
@@ -60,7 +60,7 @@
 			s.stragglerScanFrom = w.at.Worker
 			break
 		}
-		for _, t := range w.tasksWhere(func(t *task) bool { return t.relocatable(w, s.Limits) && !s.awaitsOrphan(t) }) {
+		for _, t := range w.tasksWhere(func(t *task) bool { return t.relocatable(w, s.Limits) && !s.awaitsFormerRun(t) }) {
 			r := capacities[w.Service]
 			if r == nil {
 				r = s.relocationCapacityOf(w.Service, now)
--- a/mfsched/tick.go
+++ b/mfsched/tick.go
@@ -193,7 +193,7 @@
 			s.requeue(r.task, releasedNotStored, now)
 			continue
 		}
-		if s.awaitsOrphan(r.task) || !r.task.job.account.stillAdmits(r.task.step.spec.Need) {
+		if s.awaitsFormerRun(r.task) || !r.task.job.account.stillAdmits(r.task.step.spec.Need) {
 			s.requeue(r.task, releasedNotSent, now)
 			continue
 		}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -325,13 +325,22 @@
 	delete(s.endsInCommit, w.at.Worker)
 }
 
+// acknowledgedEnd returns up to which number a worker may forget its ends: none while it doesn't answer, as
+// another incarnation may have started that numbers its ends anew.
+func (w *worker) acknowledgedEnd() mothferry.EndNumber {
+	if w.unresponsive {
+		return 0
+	}
+	return w.lastEndStored
+}
+
 // pollNoWait polls a worker without waiting for ends.
 func (s *State) pollNoWait(w *worker, now time.Time) {
-	s.sendPoll(w, mothferry.PollOrder{Epoch: s.Epoch, LastEndSeen: w.lastEndStored, Until: s.leaseEnd(w, now)}, now)
+	s.sendPoll(w, mothferry.PollOrder{Epoch: s.Epoch, LastEndSeen: w.acknowledgedEnd(), Until: s.leaseEnd(w, now)}, now)
 }
 
 func (s *State) poll(w *worker, now time.Time) {
-	order := mothferry.PollOrder{Epoch: s.Epoch, LastEndSeen: w.lastEndStored}
+	order := mothferry.PollOrder{Epoch: s.Epoch, LastEndSeen: w.acknowledgedEnd()}
 	order.Until = s.leaseEnd(w, now)
 	switch {
 	case !w.fenced || w.unresponsive:
