mfemulate: calls that their owner has given up on are not sent

The histories with late calls carried out orders seconds after their owner counted them as unknown, as relays did. Workers still handle what has reached them late, also if the caller has gone.

--- a/mfemulate/late.go
+++ b/mfemulate/late.go
@@ -97,9 +97,14 @@
 
 // call carries a call to a worker and its answer back. Deliver gets the incarnation that has
 // the worker's id when the call arrives, and a function that returns the answer; ended is called if
-// it is over. The connections break if the incarnation ends before it handles the call.
+// it is over. The connections break if the incarnation ends before it handles the call. A call that
+// has not been sent to the worker when the owner gives up on it is not sent, as relays and the client
+// for workers have it.
 func (o *owner) call(p path, id mothferry.WorkerID, deliver func(k *worker, answer func(func())), ended func()) {
 	w := o.world
+	if p.there > callTimeout {
+		return
+	}
 	w.after(p.there, func() {
 		k := w.workers[id]
 		if k == nil || !k.reachableBy(o.epoch, w.now) {
