mfsched: a list requested before a worker was known ends none

A caller could see a task run twice: all tasks of a worker were free at once though it went on, as a list of machines that was requested before the worker was first listed, and came late, showed the end of an incarnation under its id that this owner had never known. Such a list says nothing about the worker. If the incarnation that is known has ended as well, the next lists show that its machine can't have it.

The test fails without the change.

--- a/mfsched/former_test.go
+++ b/mfsched/former_test.go
@@ -136,3 +136,22 @@
 	assert.Equal(t, len(polls), 1, "its present address is polled at once")
 	assert.Equal(t, polls[0].At, moved.At)
 }
+
+// Guards against runs that are started twice because of a list of machines that was requested before
+// their worker was first listed: it shows the end of an incarnation that this owner never knew.
+func TestListRequestedBeforeWorkerIsKnownEndsNothing(t *testing.T) {
+	for kind, change := range kindsOfSteps {
+		t.Run(kind, func(t *testing.T) {
+			s := newScript(t)
+			requestedAt := s.now
+			s.advance(100 * time.Millisecond)
+			s.addReadyWorker("w")
+			s.submitStep("j", 3, change)
+			assert.Equal(t, len(s.acceptStarts(50*time.Millisecond)), 3)
+			s.step(mfsched.IncarnationEnded{Worker: "w", ListedAt: requestedAt, Cause: mfsched.IncarnationCrashed})
+			assert.Equal(t, s.state.Loads()["w"].Tasks, 3)
+			s.step(mfsched.IncarnationEnded{Worker: "w", ListedAt: s.now, Cause: mfsched.IncarnationCrashed})
+			assert.Equal(t, s.state.Loads()["w"].Tasks, 0)
+		})
+	}
+}
--- a/mfsched/incarnation.go
+++ b/mfsched/incarnation.go
@@ -43,9 +43,13 @@
 	w.restartedAt, w.priorLeaseEnd, w.followsFormer = now, now.Add(l.LeaseExpiryBound()), true
 }
 
-// predatesRestart reports whether a worker has restarted, by its entry or by an answer, so
-// that an end shown by a list requested at requestedAt is that of the previous incarnation.
+// predatesRestart reports whether a worker has restarted, by its entry or by an answer, or was
+// listed for the first time, so that an end shown by a list requested at requestedAt is that of the
+// previous incarnation.
 func (w *worker) predatesRestart(requestedAt time.Time) bool {
+	if !requestedAt.IsZero() && requestedAt.Before(w.firstListedAt) {
+		return true
+	}
 	return !w.restartedAt.IsZero() && requestedAt.Sub(w.restartedAt) < restartGuard
 }
 
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -24,6 +24,9 @@
 	// none was.
 	startedAt   mothferry.IncarnationStart
 	restartedAt time.Time
+	// firstListedAt is when the listing came that made the worker known; zero if it was known
+	// before.
+	firstListedAt time.Time
 	// fenced says that it has answered a poll of this epoch: from then on it refuses orders of
 	// previous owners.
 	fenced bool
@@ -152,6 +155,7 @@
 	}
 	known := w.restartedAt
 	if !ok {
+		w.firstListedAt = now
 		s.returned(w, l.StartedAt, now)
 	}
 	if !w.acceptListing(l.StartedAt, now, s.Limits) {
@@ -187,10 +191,10 @@
 	}
 }
 
-// workerEnded requeues all tasks of an incarnation that has ended. The list or answer that
-// shows the end was requested at requestedAt: if that was before a restart of the worker was
-// detected, or within restartGuard after it, the end is that of the previous incarnation and
-// is ignored.
+// workerEnded requeues all tasks of an incarnation that has ended. The list or answer that shows
+// the end was requested at requestedAt: if that was before the worker was first listed, or before a
+// restart of it was detected or within restartGuard after that, the end is that of the previous
+// incarnation and is ignored.
 func (s *State) workerEnded(id mothferry.WorkerID, cause IncarnationEndCause, requestedAt, now time.Time) {
 	w, ok := s.workers[id]
 	if !ok {
