mfsched: log a worker that is back after its end

A worker that counted as ended by mistake and goes on is listed again with the same start; one that started again has a later one. Nothing in the log told them apart, nor why the end was believed. One line a listing names both starts, the cause, and how many late starts the worker is ordered to stop.

--- a/mfsched/former.go
+++ b/mfsched/former.go
@@ -21,6 +21,13 @@
 	// startedAt is when its newest known incarnation started.
 	startedAt  mothferry.IncarnationStart
 	lateStarts map[runID]lateStart
+	// cause is why its incarnation counts as ended; empty if it doesn't.
+	cause IncarnationEndCause
+}
+
+func (f formerWorker) endedBy(cause IncarnationEndCause) formerWorker {
+	f.cause = cause
+	return f
 }
 
 // lateStart is a run that was released at a time though so many orders to start it had no answer.
@@ -84,6 +91,12 @@
 		return
 	}
 	delete(s.former, w.at.Worker)
+	if former.cause != "" {
+		s.emit(Decision{Message: "worker is back after its end", Worker: w.at.Worker, Fields: map[string]any{
+			"cause": former.cause, "since_ms": now.Sub(former.removedAt).Milliseconds(), "born": startedAt, "former": former.startedAt,
+			"late_starts": len(former.lateStarts),
+		}})
+	}
 	w.lateStarts = former.lateStarts
 	w.restartedAt = now
 	if startedAt != former.startedAt {
--- a/mfsched/former_test.go
+++ b/mfsched/former_test.go
@@ -155,3 +155,24 @@
 		})
 	}
 }
+
+// The log must tell a worker that was taken for ended, and goes on, from one that started again.
+func TestWorkerBackAfterItsEndIsLogged(t *testing.T) {
+	for _, startedAt := range []mothferry.IncarnationStart{firstIncarnation, secondIncarnation} {
+		s, _ := runningInFirstIncarnation(t, 1)
+		s.step(mfsched.IncarnationEnded{Worker: "w", ListedAt: s.now, Cause: mfsched.IncarnationCrashed})
+		s.advance(300 * time.Millisecond)
+		s.listIncarnation("w", startedAt)
+		logged := 0
+		for _, d := range takeCommands[mfsched.Decision](s) {
+			if d.Message != "worker is back after its end" {
+				continue
+			}
+			logged++
+			assert.DeepEqual(t, d.Fields, map[string]any{
+				"cause": mfsched.IncarnationCrashed, "since_ms": int64(300), "born": startedAt, "former": firstIncarnation, "late_starts": 1,
+			})
+		}
+		assert.Equal(t, logged, 1)
+	}
+}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -212,6 +212,7 @@
 		s.delayRestart(t, now)
 	}
 	s.removeWorker(w, now)
+	s.former[id] = s.former[id].endedBy(cause)
 	s.failJobsOf(toFail, now)
 }
 
