mfrelay: the test of a replaced link ends its start in seconds

The outcome of a start whose link was lost is returned when it can no longer be sent, which the test's timeout of a minute let it wait for, until its workers no longer counted. The stop is now sent before that.

--- a/mfrelay/withdraw_test.go
+++ b/mfrelay/withdraw_test.go
@@ -79,7 +79,7 @@
 // replaced and the stop takes the new one.
 func TestReplacedLinkEndsItsOrders(t *testing.T) {
 	f := newFleet()
-	f.relay.OrderTimeout = time.Minute
+	f.relay.OrderTimeout = 5 * time.Second
 	remote := newHeldWorkers()
 	f.addHost(t, "r-1", remote)
 	f.start(t)
@@ -92,13 +92,13 @@
 	within(t, 5*time.Second, "start waits at the relay", remote.waiting)
 	f.hosts[0].Cores++
 	f.relay.SetHosts(f.hosts)
-	assertUnknown(t, <-result)
 	within(t, 5*time.Second, "start is withdrawn", remote.withdrawn)
 	eventually(t, "the stop is relayed", func() bool {
 		before := remote.callCount()
 		_, err := f.relay.Stop(context.Background(), worker(1), mothferry.TaskName{}, 1, 1)
 		return err == nil && remote.callCount() > before
 	})
+	assertUnknown(t, <-result)
 }
 
 // Guards against a start that waits at its relay for longer than its owner waits for an answer and is
