mfemulate: an order that is sent late counts as late from when it was decided on

The check of starts after a task was done leaves out orders that are carried out late, as such a start may have been decided on after an earlier run's lease had expired, before its end was known. In late histories it counted from when the order was sent. Starts beside a run are checked as before, and starts after a task was done are now reported with both runs too.

--- a/mfemulate/late.go
+++ b/mfemulate/late.go
@@ -156,7 +156,7 @@
 
 // carryOut executes an order of a known origin.
 func (w *World) carryOut(k *worker, from origin, execute func(*worker) error) error {
-	w.origin, w.lateOrder = from, w.now.Sub(from.sent) > callTimeout
+	w.origin, w.lateOrder = from, w.now.Sub(from.decided) > callTimeout
 	defer func() { w.origin, w.lateOrder = origin{}, false }()
 	return execute(k)
 }
@@ -392,9 +392,35 @@
 }
 
 // describeRun returns which owner ordered a run, by which way and when.
-func (w *World) describeRun(r *run, from origin, on *worker) string {
+func (w *World) describeRun(r *run, on *worker) string {
 	return fmt.Sprintf("run %d on %s of epoch %d via %s, decided %v, sent %v, carried out %v", r.number, on.listing.At.Worker,
-		from.epoch, from.via, from.decided.Sub(StartTime), from.sent.Sub(StartTime), r.startedAt.Sub(StartTime))
+		r.origin.epoch, r.origin.via, r.origin.decided.Sub(StartTime), r.origin.sent.Sub(StartTime), r.startedAt.Sub(StartTime))
+}
+
+// doneRun is the run that completed a task.
+type doneRun struct {
+	on          *worker
+	description string
+}
+
+// recordDone records the run that completes a task.
+func (w *World) recordDone(o *worker, name mothferry.TaskName, r *run) {
+	if !w.Late.enabled() {
+		return
+	}
+	if w.doneRuns == nil {
+		w.doneRuns = map[mothferry.TaskName]doneRun{}
+	}
+	w.doneRuns[name] = doneRun{o, fmt.Sprintf("%s, done %v", w.describeRun(r, o), w.Now())}
+}
+
+// recordTwice records that a task starts on a worker though it has another run, or had one that
+// completed it.
+func (w *World) recordTwice(order mothferry.StartOrder, on *worker, other string, otherWorker *worker) {
+	if w.Late.enabled() {
+		second := w.describeRun(&run{number: order.Run, origin: w.origin, startedAt: w.now}, on)
+		w.Twice = append(w.Twice, fmt.Sprintf("task %v: %s; %s\n%s", order.Task, other, second, w.explain(order.Task, otherWorker, on)))
+	}
 }
 
 // explain returns the late decisions on a task's job and its workers.
--- a/mfemulate/worker.go
+++ b/mfemulate/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -128,6 +127,7 @@
 		c := o.world.jobs[name.Job]
 		if !c.done[name] {
 			c.doneAt[name] = o.world.now
+			o.world.recordDone(o, name, r)
 		}
 		c.done[name] = true
 	}
@@ -304,10 +304,7 @@
 				continue
 			}
 			w.violation("task %v run %d starts on %s while run %d runs on %s", order.Task, order.Run, o.listing.At.Worker, r.number, other.listing.At.Worker)
-			if w.Late.enabled() {
-				second := &run{number: order.Run, startedAt: w.now}
-				w.Twice = append(w.Twice, fmt.Sprintf("task %v: %s; %s\n%s", order.Task, w.describeRun(r, r.origin, other), w.describeRun(second, w.origin, o), w.explain(order.Task, other, o)))
-			}
+			w.recordTwice(order, o, w.describeRun(r, other), other)
 		}
 	}
 	if !slices.Contains(w.startedOn[order.Task], o) {
@@ -317,6 +314,8 @@
 	// expired, and be executed after that run turned out done.
 	if !w.lateOrder && c.done[order.Task] && !step.Lasting && w.storedAsDone(order.Task) && !(step.Speculative && w.now.Sub(c.doneAt[order.Task]) < copyStartGrace) {
 		w.violation("task %v run %d starts after it was done", order.Task, order.Run)
+		done := w.doneRuns[order.Task]
+		w.recordTwice(order, o, done.description, done.on)
 	}
 	w.checkAccount(c, &step)
 	if k := order.Task.Occurrence; k >= c.submission.Occurrences() || w.now.Before(c.submission.ScheduledAt(k)) {
--- a/mfemulate/world.go
+++ b/mfemulate/world.go
@@ -133,6 +133,8 @@
 	// lists holds the latest lists of machines, decisions the latest decisions of owners.
 	lists     []composedList
 	decisions []tracedDecision
+	// doneRuns holds the run that completed each task.
+	doneRuns map[mothferry.TaskName]doneRun
 	// headStoredAt is when the head was last stored.
 	headStoredAt time.Time
 	// Stats is filled during the simulation.
@@ -141,7 +143,7 @@
 	OnDecision func(at time.Duration, d mfsched.Decision)
 	// Violations holds the violated invariants.
 	Violations []string
-	// Twice holds those violations in which a task has two runs, with the history of both.
+	// Twice holds those violations in which a task runs twice, with the history of both runs.
 	Twice []string
 }
 
