mfduty: a list that goes back, or lacks a worker with an entry, ends none

A caller could see several tasks run twice at once: a list of machines that was older than the one before it showed the former worker of a machine, and the present one counted as ended with all of its tasks. Likewise a new owner whose first lists lacked a machine took its silent worker for lost, while the worker's own entry said that it was there.

The tracker remembers the former workers of each machine. A list that names one of them says nothing about that machine, nor about workers that are missing from it.

--- a/mfduty/incarnation.go
+++ b/mfduty/incarnation.go
@@ -18,6 +18,8 @@
 	// removedTimeout is how long a machine must be missing from the machine list to count as
 	// removed: by then leases on it have expired.
 	removedTimeout = 10 * time.Second
+	// maxFormerWorkers is how many former workers of a machine are remembered.
+	maxFormerWorkers = 8
 )
 
 // IncarnationTracker tracks which incarnation of a worker each machine runs. The platform's
@@ -26,6 +28,8 @@
 // much sooner. A worker that is only partitioned stays in the list.
 type IncarnationTracker struct {
 	current map[mothferry.MachineID]incarnation
+	// former holds the workers that each machine had before others, the newest last.
+	former map[mothferry.MachineID][]mothferry.WorkerID
 	// listedAt is when the last list was requested that had a machine.
 	listedAt map[mothferry.MachineID]time.Time
 	// missingSince is when the first list was requested that accounted for all machines without
@@ -37,6 +41,8 @@
 type incarnation struct {
 	worker mothferry.WorkerID
 	pool   mothferry.ServiceID
+	// last is the newest worker that the machine had; it may have ended.
+	last mothferry.WorkerID
 }
 
 // endCause returns why an incarnation has ended, by the present state of its machine.
@@ -56,25 +62,40 @@
 func (t *IncarnationTracker) Ended(machines []mothferry.Machine, loads map[mothferry.WorkerID]mfsched.Load, requestedAt time.Time) []mfsched.IncarnationEnded {
 	if t.current == nil {
 		t.current, t.missingSince = map[mothferry.MachineID]incarnation{}, map[mothferry.WorkerID]time.Time{}
-		t.listedAt = map[mothferry.MachineID]time.Time{}
+		t.listedAt, t.former = map[mothferry.MachineID]time.Time{}, map[mothferry.MachineID][]mothferry.WorkerID{}
 	}
 	var ended []mfsched.IncarnationEnded
-	present := map[mothferry.WorkerID]bool{}
+	present, inOrder := map[mothferry.WorkerID]bool{}, true
 	for _, m := range machines {
 		present[m.Worker] = true
 		previous := t.current[m.Machine]
 		if m.Worker == "" && !withoutWorker(m.State) {
 			continue
 		}
+		if slices.Contains(t.former[m.Machine], m.Worker) {
+			// The list is older than the one that showed the present worker.
+			inOrder = false
+			continue
+		}
 		if previous.worker != "" && m.Worker != previous.worker {
 			ended = append(ended, mfsched.IncarnationEnded{Worker: previous.worker, Cause: previous.endCause(m)})
 		}
-		t.current[m.Machine] = incarnation{worker: m.Worker, pool: m.Pool}
+		t.replace(m)
 	}
-	allAccounted := t.accountsForAll(machines, requestedAt)
+	allAccounted := t.accountsForAll(machines, requestedAt) && inOrder
 	return append(ended, t.lost(present, loads, allAccounted, requestedAt)...)
 }
 
+// replace records what a machine runs now. A worker without one after it may start again under its id.
+func (t *IncarnationTracker) replace(m mothferry.Machine) {
+	i := t.current[m.Machine]
+	if i.last != "" && m.Worker != "" && m.Worker != i.last {
+		former := append(t.former[m.Machine], i.last)
+		t.former[m.Machine] = former[max(0, len(former)-maxFormerWorkers):]
+	}
+	t.current[m.Machine] = incarnation{worker: m.Worker, pool: m.Pool, last: cmp.Or(m.Worker, i.last)}
+}
+
 // accountsForAll reports whether each known machine is in a list, with a worker or in a state
 // without one, so that a worker which isn't in the list runs on none of them. A machine that was
 // removed is not known any more.
@@ -100,9 +121,9 @@
 	return s == mothferry.MachineDown || s == mothferry.MachineMoving || s == mothferry.MachineMaintenance
 }
 
-// lost returns the incarnations with tasks that are unresponsive and that no machine can have, by
-// lists requested missingTimeout apart that account for all machines: a new owner knows them only
-// from what the previous owner stored. A list that leaves a machine open shows nothing.
+// lost returns the incarnations with tasks that are unresponsive, whose entry is gone, and that no
+// machine can have, by lists requested missingTimeout apart that account for all machines: a new owner
+// knows them only from what the previous owner stored. A list that leaves a machine open shows nothing.
 func (t *IncarnationTracker) lost(present map[mothferry.WorkerID]bool, loads map[mothferry.WorkerID]mfsched.Load, allAccounted bool, requestedAt time.Time) []mfsched.IncarnationEnded {
 	maps.DeleteFunc(t.missingSince, func(id mothferry.WorkerID, _ time.Time) bool {
 		_, known := loads[id]
@@ -111,7 +132,7 @@
 	var ended []mfsched.IncarnationEnded
 	for id, load := range loads {
 		responsive := load.Known && !load.Unresponsive
-		if present[id] || load.Tasks == 0 || responsive {
+		if present[id] || load.Listed || load.Tasks == 0 || responsive {
 			delete(t.missingSince, id)
 			continue
 		}
--- a/mfduty/incarnation_test.go
+++ b/mfduty/incarnation_test.go
@@ -147,3 +147,41 @@
 	assert.Equal(t, len(tracker.Ended(machines, nil, start.Add(200*time.Millisecond))), 0)
 	assert.Equal(t, len(tracker.Ended(machines, loads, start.Add(2*time.Second))), 0)
 }
+
+// Guards against tasks that run twice: a list that is older than the one before shows the former worker of
+// a machine, and the present one, which is at work, counted as ended.
+func TestOlderListEndsNoWorker(t *testing.T) {
+	for name, between := range map[string][]mothferry.Machine{"replaced at once": nil, "machine down in between": {down("m-1")}} {
+		t.Run(name, func(t *testing.T) {
+			var tracker mfduty.IncarnationTracker
+			tracker.Ended([]mothferry.Machine{up("m-1", "w-1")}, nil, start)
+			if between != nil {
+				tracker.Ended(between, nil, start)
+			}
+			tracker.Ended([]mothferry.Machine{up("m-1", "w-2")}, nil, start)
+			assert.Equal(t, len(tracker.Ended([]mothferry.Machine{up("m-1", "w-1")}, nil, start)), 0)
+			assert.Equal(t, len(tracker.Ended([]mothferry.Machine{up("m-1", "w-2")}, nil, start)), 0)
+			assert.DeepEqual(t, tracker.Ended([]mothferry.Machine{up("m-1", "w-3")}, nil, start), []mfsched.IncarnationEnded{{Worker: "w-2", Cause: mfsched.IncarnationCrashed}})
+		})
+	}
+}
+
+// A worker that starts again under its id is a new incarnation at its machine, not an old list.
+func TestWorkerThatReturnsUnderItsIDMayEndAgain(t *testing.T) {
+	var tracker mfduty.IncarnationTracker
+	for range 3 {
+		assert.Equal(t, len(tracker.Ended([]mothferry.Machine{up("m-1", "w-1")}, nil, start)), 0)
+		assert.Equal(t, len(tracker.Ended([]mothferry.Machine{down("m-1")}, nil, start)), 1)
+	}
+}
+
+// Guards against tasks that run twice: lists don't name a worker that doesn't answer, while its entry says
+// that it is there.
+func TestWorkerWithEntryIsNotLost(t *testing.T) {
+	var tracker mfduty.IncarnationTracker
+	machines := []mothferry.Machine{up("m-1", "w-2")}
+	loads := map[mothferry.WorkerID]mfsched.Load{"w-1": {Tasks: 2, Listed: true, Unresponsive: true}}
+	for d := time.Duration(0); d < 5*time.Second; d += 200 * time.Millisecond {
+		assert.Equal(t, len(tracker.Ended(machines, loads, start.Add(d))), 0)
+	}
+}
--- a/mfsched/load.go
+++ b/mfsched/load.go
@@ -9,6 +9,8 @@
 // Load is the load of one incarnation of a worker.
 type Load struct {
 	Service mothferry.ServiceID
+	// Listed says that the worker's entry is there.
+	Listed bool
 	// Known says that the worker has reported to this owner what it runs.
 	Known bool
 	// Tasks counts all tasks that are, or may be, there; Lasting the lasting ones.
@@ -35,7 +37,7 @@
 func (s *State) Loads() map[mothferry.WorkerID]Load {
 	loads := map[mothferry.WorkerID]Load{}
 	for id, w := range s.workers {
-		l := Load{Service: w.Service, Known: w.fenced, Tasks: len(w.tasks), Unresponsive: w.unresponsive}
+		l := Load{Service: w.Service, Listed: w.listed, Known: w.fenced, Tasks: len(w.tasks), Unresponsive: w.unresponsive}
 		for _, t := range w.tasks {
 			if t.step.spec.Lasting {
 				l.Lasting++
