mfduty: only a worker that never answered an owner is lost by its absence

A caller could see all tasks of a worker run twice: a list of machines that had lacked the worker's machine for ten seconds, while the worker answered, counted the machine as removed; a second of silence later the worker was lost, with most of its lease to come.

Of a worker that has answered this owner its machine (another worker, or a state without one) or its lease shows the end. Absence counts only for those that a new owner knows from the record alone. TestKnownWorkerWithoutMachineIsNotLost failed before. The end of TestRespondingWorkerIsNotLost asked for the fault: it now asks that a known worker is never lost like that, and a recorded one is.

--- a/mfduty/incarnation.go
+++ b/mfduty/incarnation.go
@@ -121,9 +121,10 @@
 	return s == mothferry.MachineDown || s == mothferry.MachineMoving || s == mothferry.MachineMaintenance
 }
 
-// lost returns the incarnations with tasks that are unresponsive, whose entry is gone, and that no
-// machine can have, by lists requested missingTimeout apart that account for all machines: a new owner
-// knows them only from what the previous owner stored. A list that leaves a machine open shows nothing.
+// lost returns the incarnations with tasks that a new owner knows only from what the previous owner
+// stored, whose entry is gone, and that no machine can have, by lists requested missingTimeout apart that
+// account for all machines. A list that leaves a machine open shows nothing. Of a worker that has
+// answered this owner only its machine, or its lease, shows the end.
 func (t *IncarnationTracker) lost(present map[mothferry.WorkerID]bool, loads map[mothferry.WorkerID]mfsched.Load, allAccounted bool, requestedAt time.Time) []mfsched.IncarnationEnded {
 	maps.DeleteFunc(t.missingSince, func(id mothferry.WorkerID, _ time.Time) bool {
 		_, known := loads[id]
@@ -131,8 +132,7 @@
 	})
 	var ended []mfsched.IncarnationEnded
 	for id, load := range loads {
-		responsive := load.Known && !load.Unresponsive
-		if present[id] || load.Listed || load.Tasks == 0 || responsive {
+		if present[id] || load.Listed || load.Tasks == 0 || load.Known {
 			delete(t.missingSince, id)
 			continue
 		}
