mfsched: orphaned runs on workers of a dropped service are polled

A task could never start again: the config dropped the service of a worker on which an orphaned run of the task was being stopped. A worker of an unknown service without tasks is not polled, so that the run's end was never seen, and since "no task starts while another run of it may be at work" the task waits for it. Such a worker is now polled until its orphaned runs have ended. TestOrphanOnWorkerOfDroppedServiceEnds failed before.

--- a/mfsched/orphan_test.go
+++ b/mfsched/orphan_test.go
@@ -184,3 +184,37 @@
 	}
 	assert.Equal(t, repeated, 0, "its worker refuses it")
 }
+
+// Guards against a task that never starts again: the config drops the service of a worker on which a run of
+// the task is being stopped, the worker had no other task, and was polled no more.
+func TestOrphanOnWorkerOfDroppedServiceEnds(t *testing.T) {
+	s, report := withOrphan(t, func(*mfjob.Step) {})
+	const other = "s2"
+	w := worker("w-3")
+	w.Service, w.At.Address = other, "10.0.0.3:1"
+	s.step(mfsched.WorkerListed{Worker: w})
+	s.step(mfsched.ConfigChanged{
+		Queues:   map[mothferry.QueueID]mfsched.Queue{queue: {Service: other, MaxAttempts: 2, Stretch: 1.6, Latency: 600 * time.Millisecond}},
+		Services: map[mothferry.ServiceID]bool{other: true},
+	})
+	for _, c := range takeCommands[mfsched.Stop](s) {
+		s.step(mfsched.StopAnswered{Worker: c.At.Worker, Sent: s.now, Task: c.Task, Run: c.Run, Result: mfsched.ResultDone})
+	}
+	for range 500 {
+		s.advance(10 * time.Millisecond)
+		for _, p := range takeCommands[mfsched.Poll](s) {
+			answer := mothferry.PollReport{Clock: mothferry.WorkerClock(s.now.Sub(startTime) + time.Hour)}
+			if p.At.Worker == "w-2" {
+				answer.Ended = []mothferry.EndedTask{{Number: 1, Task: report.Running[0].Task, Run: report.Running[0].Run, Cause: mothferry.EndStopped}}
+			}
+			s.step(mfsched.PollAnswered{Worker: p.At.Worker, Number: p.Number, Sent: s.now, Report: answer})
+		}
+		for _, o := range takeCommands[mfsched.Start](s) {
+			s.answerStart(o, mfsched.ResultDone, "")
+			if o.Order.Task == report.Running[0].Task {
+				return
+			}
+		}
+	}
+	t.Fatal("the task was not started within 5 s")
+}
--- a/mfsched/worker.go
+++ b/mfsched/worker.go
@@ -301,7 +301,7 @@
 			unlisted = append(unlisted, w)
 			continue
 		}
-		if len(w.tasks) == 0 && s.unknownService(w) {
+		if len(w.tasks) == 0 && len(w.orphans) == 0 && s.unknownService(w) {
 			continue
 		}
 		// Ends whose effect is not stored yet would only be listed again.
