mfsched: a late start that was carried out is stopped where its worker is back

A start under way when its worker's end became known could be answered as carried out by the next incarnation under the id. The answer ended the wait for the call, the entry that has the next incarnation stop the run was deleted, and the task started beside it. The run now counts as orphaned at the worker until a poll shows that it isn't there.

--- a/mfsched/former.go
+++ b/mfsched/former.go
@@ -52,16 +52,25 @@
 	w.lateStarts[runID{task: t.name, run: t.run}] = lateStart{releasedAt: now, unanswered: unanswered}
 }
 
-// lateStartAnswered records that an order to start a run was answered after the run was released.
-func (s *State) lateStartAnswered(id mothferry.WorkerID, r runID) {
+// lateStartAnswered records that an order to start a run was answered after the run was released. If
+// the order was carried out, a later incarnation may have done that: the run is stopped there, and
+// counts as being there until a poll shows that it isn't.
+func (s *State) lateStartAnswered(id mothferry.WorkerID, r runID, result OrderResult, now time.Time) {
 	late := s.former[id].lateStarts
-	if w, ok := s.workers[id]; ok {
+	w, listed := s.workers[id]
+	if listed {
 		late = w.lateStarts
 	}
 	start, known := late[r]
 	if !known {
 		return
 	}
+	if result == ResultDone {
+		if listed {
+			s.stopOrphan(w, r, now, now)
+		}
+		return
+	}
 	if start.unanswered--; start.unanswered <= 0 {
 		delete(late, r)
 		return
--- a/mfsched/report.go
+++ b/mfsched/report.go
@@ -321,7 +321,7 @@
 	t := s.lookUpAt(e.Task, e.Worker)
 	if t == nil || t.run != e.Run || t.worker == nil || t.worker.at.Worker != e.Worker {
 		if e.Result != ResultUnknown {
-			s.lateStartAnswered(e.Worker, runID{task: e.Task, run: e.Run})
+			s.lateStartAnswered(e.Worker, runID{task: e.Task, run: e.Run}, e.Result, now)
 		}
 		return
 	}
--- a/mfsched/startcall_test.go
+++ b/mfsched/startcall_test.go
@@ -88,3 +88,25 @@
 	assert.Assert(t, len(again) > 0)
 	assert.Equal(t, again[0].Order.LastEndSeen, mothferry.EndNumber(0))
 }
+
+// Guards against two runs of a task: a start was under way when its worker's end became known, the next
+// incarnation under the id carried it out, and the answer let the task start elsewhere.
+func TestStartCarriedOutByReturnedWorkerIsStoppedFirst(t *testing.T) {
+	for kind, change := range kindsOfSteps {
+		t.Run(kind, func(t *testing.T) {
+			s, first := unansweredStart(t, change)
+			s.step(mfsched.IncarnationEnded{Worker: "w", ListedAt: s.now, Cause: mfsched.IncarnationCrashed})
+			s.listIncarnation("w", secondIncarnation)
+			s.answerStart(first, mfsched.ResultDone, "")
+			s.advance(100 * time.Millisecond)
+			assert.Equal(t, len(takeCommands[mfsched.Start](s)), 0, "started beside the run of the new incarnation")
+			assert.Assert(t, s.stopsOf(first) > 0)
+			s.step(mfsched.StopAnswered{Worker: "w", Sent: s.now, Task: first.Order.Task, Run: 1, Result: mfsched.ResultDone})
+			s.advance(10 * time.Millisecond)
+			s.answerAs("w", secondIncarnation, mothferry.PollReport{Ended: []mothferry.EndedTask{{Number: 1, Task: first.Order.Task, Run: 1, Cause: mothferry.EndStopped}}})
+			again := s.acceptStarts(700 * time.Millisecond)
+			assert.Equal(t, len(again), 1)
+			assert.Equal(t, again[0].Order.Run, mothferry.RunNumber(2))
+		})
+	}
+}
